Moves, drains and withdrawals as duties under a lease

Cause: the tree could declare a move, but nothing carried it out.

What was done: the holder of a service's lease collects tallies from the targets' nodes, judges old against new by a sequential binomial test for each route, and writes the share as a version that is conditional on its lease.

Found on the way: with two tasks sending at once the gossip socket raised BusyResourceError and the daemon ended; one task now owns the socket's sending side and the others use its outbox. Background tasks are supervised.

Also found: a node's own ban of a bad version starved the duty of evidence, so a version that failed on one route only was never condemned.

--- /dev/null
+++ b/cactusshed/duty/evidence.py
@@ -0,0 +1,100 @@
+"""Evidence: what the nodes of a service's targets have seen of its versions."""
+
+from collections.abc import Iterator
+
+import anyio
+import attrs
+import grpc
+
+from ..member.records import Member
+from ..member.view import View
+from ..observe.counters import Counters
+from ..policy.verdict import Sample
+from ..settings import Settings
+from ..wire import control_pb2 as pb
+from ..wire.channel import make_metadata, open_stub
+
+__all__ = ["Collector", "Evidence", "subtract_evidence"]
+
+ASK_SECONDS = 1.0
+
+Key = tuple[str, int, str, str, str]
+"""Node, its incarnation, version, route and target of a tally."""
+
+
+@attrs.frozen
+class Evidence:
+    """Tallies of one service by key, and the calls that run now."""
+
+    tallies: dict[Key, Sample]
+    running: int
+
+    def list_version(self, version: str) -> list[Sample]:
+        """Return the samples of one version."""
+        return [sample for key, sample in self.tallies.items() if key[2] == version]
+
+
+def subtract_evidence(later: Evidence, earlier: Evidence) -> Evidence:
+    """Return what was added between two collections; restarts begin at zero."""
+    grown = {}
+    for key, sample in later.tallies.items():
+        before = earlier.tallies.get(key)
+        grown[key] = sample if before is None else _subtract(sample, before)
+    return Evidence(grown, later.running)
+
+
+def _subtract(later: Sample, earlier: Sample) -> Sample:
+    times = zip(later.times, earlier.times, strict=True)
+    return attrs.evolve(
+        later,
+        calls=later.calls - earlier.calls,
+        failures=later.failures - earlier.failures,
+        times=tuple(after - before for after, before in times),
+    )
+
+
+@attrs.define
+class Collector:
+    """Asks every node that has a target of a service for its tallies."""
+
+    settings: Settings
+    view: View
+    counters: Counters
+
+    async def collect(self, service: str) -> Evidence:
+        """Return the evidence of all nodes that answer."""
+        members = {e.member.node: e.member for e in self.view.list_endpoints(service)}
+        replies: list[pb.EvidenceReply] = []
+
+        async def ask(member: Member) -> None:
+            reply = await self._ask(member, service)
+            if reply is not None:
+                replies.append(reply)
+
+        async with anyio.create_task_group() as tasks:
+            for member in members.values():
+                tasks.start_soon(ask, member)
+        tallies = dict(pair for reply in replies for pair in _read_reply(reply))
+        return Evidence(tallies, sum(reply.running for reply in replies))
+
+    async def _ask(self, member: Member, service: str) -> pb.EvidenceReply | None:
+        try:
+            async with open_stub(self.settings, member.control) as stub:
+                return await stub.Evidence(
+                    pb.EvidenceRequest(service=service),
+                    metadata=make_metadata(self.settings),
+                    timeout=ASK_SECONDS,
+                )
+        except grpc.RpcError:
+            self.counters.add("evidence_failed")
+            return None
+
+
+def _read_reply(reply: pb.EvidenceReply) -> Iterator[tuple[Key, Sample]]:
+    for tally in reply.tallies:
+        key = (reply.node, reply.incarnation, tally.version, tally.route, tally.target)
+        times = tuple(tally.times)
+        yield (
+            key,
+            Sample(tally.route, tally.target, tally.calls, tally.failures, times),
+        )
--- /dev/null
+++ b/cactusshed/duty/moves.py
@@ -0,0 +1,238 @@
+"""The move duty: the holder of a service's lease brings its move to an end."""
+
+from collections import deque
+from collections.abc import Iterator
+
+import anyio
+import attrs
+import xxhash
+
+from ..clock import read_monotonic, read_wall
+from ..errors import CactusError, LeaseLost
+from ..member.view import View
+from ..observe.counters import Counters
+from ..observe.events import log_event
+from ..operate.editor import Editor
+from ..platform.accept import Proposal
+from ..platform.lease import Lease, acquire_lease, release_lease, renew_lease
+from ..platform.port import Port
+from ..policy.progress import Plan, Progress, advance_move, is_watched
+from ..policy.verdict import Verdict, judge_version
+from ..spread.current import Current
+from ..tree.branch import make_progress_path
+from ..tree.edit import Edit
+from ..tree.inherit import Place, resolve_place
+from ..tree.table import Move, Route, read_progress
+from .evidence import Collector, Evidence, subtract_evidence
+
+__all__ = ["MoveDuty", "choose_holders", "find_moves"]
+
+LOOK_SECONDS = 0.5
+SCAN_SECONDS = 0.5
+HOLDERS = 3
+"""Nodes that try for a service's lease, each later than the one before."""
+ACQUIRE_SECONDS = 2.0
+WINDOW_LOOKS = 20
+"""Looks over which the recent past is judged for itself."""
+AUTHOR = "move-duty"
+
+
+def find_moves(routes: tuple[Route, ...]) -> dict[str, Move]:
+    """Return the move of each service that has one."""
+    return {route.service: route.move for route in routes if route.move is not None}
+
+
+def choose_holders(service: str, nodes: list[str]) -> list[str]:
+    """Return the nodes that may hold a service's lease, first choice first.
+
+    Highest random weight, after Thaler and Ravishankar (1998).
+    """
+
+    def weigh(node: str) -> int:
+        return xxhash.xxh64_intdigest(f"{service}\0{node}".encode())
+
+    return sorted(nodes, key=weigh, reverse=True)[:HOLDERS]
+
+
+@attrs.define
+class MoveDuty:
+    """State of the duty on this node: the services it is looking after."""
+
+    port: Port
+    current: Current
+    view: View
+    collector: Collector
+    editor: Editor
+    counters: Counters
+    _kept: dict[str, str] = attrs.Factory(dict)
+
+    async def run(self) -> None:
+        """Look after moves for as long as the node runs."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for service, move in self._find_due():
+                    self._kept[service] = move.move_id
+                    tasks.start_soon(self._keep, service)
+                await self.current.wait_change(SCAN_SECONDS)
+
+    def _find_due(self) -> Iterator[tuple[str, Move]]:
+        """Yield the moves that this node should start to look after."""
+        if not self.current.ready:
+            return
+        for service, move in find_moves(self.current.table.routes).items():
+            if service in self._kept or not self._is_due(service):
+                continue
+            if self._get_turn(service) is not None:
+                yield service, move
+
+    def _is_due(self, service: str) -> bool:
+        progress = self._read_progress(service)
+        return progress is not None and is_watched(progress, read_wall())
+
+    def _get_turn(self, service: str) -> int | None:
+        """Return this node's place among those that may hold the lease."""
+        nodes = [
+            member.node
+            for centre in self.view.list_centres()
+            for member in self.view.list_live(centre)
+        ]
+        holders = choose_holders(service, nodes)
+        own = self.view.own.node
+        return holders.index(own) if own in holders else None
+
+    async def _keep(self, service: str) -> None:
+        try:
+            turn = self._get_turn(service) or 0
+            await anyio.sleep(turn * ACQUIRE_SECONDS)
+            lease = await acquire_lease(self.port, f"move-{service}", self._name)
+            if lease is None:
+                await anyio.sleep(ACQUIRE_SECONDS)
+                return
+            log_event("lease-acquired", lease=lease.name, epoch=lease.epoch)
+            await _Keeper(self, service, lease).run()
+        except CactusError as error:
+            self.counters.add("duties_failed")
+            log_event("duty-failed", service=service, error=str(error))
+            await anyio.sleep(ACQUIRE_SECONDS)
+        finally:
+            del self._kept[service]
+
+    @property
+    def _name(self) -> str:
+        own = self.view.own
+        return f"{own.node}/{own.incarnation}"
+
+    def _read_progress(self, service: str) -> Progress | None:
+        move = find_moves(self.current.table.routes).get(service)
+        if move is None:
+            return None
+        kept = read_progress(self.current.tree, service)
+        if kept["move-id"] != move.move_id:
+            return Progress(move.move_id, move.to, 0.0, "running", 0.0)
+        return Progress(
+            move.move_id,
+            move.to,
+            kept["share"],
+            kept["state"],
+            kept["since"],
+            kept["reason"],
+        )
+
+    def _make_plan(self, service: str, start: float) -> Plan | None:
+        move = find_moves(self.current.table.routes).get(service)
+        if move is None:
+            return None
+        values = resolve_place(self.current.tree, Place(service=service))
+        first = values["first-share"]
+        return Plan(move.move_id, move.to, start, move.by, first)
+
+
+class _Keeper:
+    """One lease and the evidence gathered under it."""
+
+    def __init__(self, duty: MoveDuty, service: str, lease: Lease) -> None:
+        self._duty = duty
+        self._service = service
+        self._lease = lease
+        self._start = read_wall()
+        self._base: Evidence | None = None
+        self._recent: deque[Evidence] = deque(maxlen=WINDOW_LOOKS)
+        self._looks = 0
+        self._calls = 0
+
+    async def run(self) -> None:
+        """Look, decide and write until the move needs nothing more."""
+        while True:
+            started = read_monotonic()
+            if not self._lease.is_live(started):
+                raise LeaseLost("the lease ran out", step="move")
+            progress = self._duty._read_progress(self._service)
+            if progress is None or not is_watched(progress, read_wall()):
+                break
+            await self._look(progress)
+            self._lease = await renew_lease(self._duty.port, self._lease)
+            await anyio.sleep(LOOK_SECONDS)
+        await release_lease(self._duty.port, self._lease)
+
+    async def _look(self, progress: Progress) -> None:
+        duty = self._duty
+        plan = duty._make_plan(self._service, self._start)
+        if plan is None:
+            return
+        evidence = await duty.collector.collect(self._service)
+        if self._base is None:
+            self._base = evidence
+        self._recent.append(evidence)
+        verdict = self._judge(evidence, plan.to)
+        endpoints = duty.view.list_endpoints(self._service)
+        has_targets = any(e.target.version == plan.to for e in endpoints)
+        now = read_wall()
+        after = advance_move(progress, plan, now, verdict, has_targets)
+        if after is not progress:
+            await self._write(after)
+
+    def _judge(self, evidence: Evidence, new: str) -> Verdict:
+        """Judge all that was seen under this lease, then the recent past."""
+        whole = subtract_evidence(evidence, self._base)
+        news = whole.list_version(new)
+        calls = sum(sample.calls for sample in news)
+        if calls == self._calls:
+            return Verdict(bad=False)
+        self._calls = calls
+        self._looks += 1
+        olds = [s for key, s in evidence.tallies.items() if key[2] != new]
+        recent = subtract_evidence(evidence, self._recent[0])
+        for sample in (news, recent.list_version(new)):
+            verdict = judge_version(olds, sample, 2 * self._looks)
+            if verdict.bad:
+                return verdict
+        return Verdict(bad=False)
+
+    async def _write(self, progress: Progress) -> None:
+        """Write a step; it holds only while this epoch of the lease does."""
+        path = make_progress_path(self._service)
+        values = {
+            "move-id": progress.move_id,
+            "to": progress.to,
+            "share": f"{progress.share:.6g}",
+            "state": progress.state,
+            "since": f"{progress.since:.3f}",
+            "reason": progress.reason,
+        }
+        change_id = f"{progress.move_id}.{self._lease.epoch}.{progress.since:.3f}"
+        proposal = Proposal(
+            change_id,
+            AUTHOR,
+            (Edit(path, values),),
+            {},
+            (self._lease.make_guard(),),
+        )
+        await self._duty.editor.accept_proposal(proposal)
+        self._duty.counters.add("move_steps")
+        log_event(
+            "move",
+            service=self._service,
+            state=progress.state,
+            share=progress.share,
+            reason=progress.reason,
+        )
--- a/cactusshed/errors.py
+++ b/cactusshed/errors.py
@@ -14,6 +14,7 @@
     "PeerUnavailable",
     "PlatformUnavailable",
     "UpdateRefused",
+    "WithdrawalRefused",
 ]
 
 
@@ -120,3 +121,10 @@
 
     code = "update-refused"
     status = 400
+
+
+class WithdrawalRefused(CactusError):
+    """What would remain after a withdrawal or drain does not bear the load."""
+
+    code = "withdrawal-refused"
+    status = 409
--- a/cactusshed/member/gossip.py
+++ b/cactusshed/member/gossip.py
@@ -8,6 +8,7 @@
 import anyio
 import anyio.abc
 import attrs
+from anyio.streams.memory import MemoryObjectSendStream
 from google.protobuf.message import DecodeError
 
 from ..clock import read_monotonic
@@ -24,6 +25,7 @@
 
 SEAL_BYTES = 16
 MAX_DATAGRAM = 1_472
+OUTBOX_PACKETS = 1_000
 HELPERS = 3
 """Peers that are asked to probe a peer that did not answer."""
 FAN_OUT = 3
@@ -66,8 +68,8 @@
     interval: float
     on_strike: Callable[[pb.Strike], None]
     rng: random.Random = attrs.Factory(random.Random)
-    _socket: anyio.abc.UDPSocket | None = None
     _tasks: anyio.abc.TaskGroup | None = None
+    _outbox: MemoryObjectSendStream | None = None
     _seq: int = 0
     _waiting: dict[int, anyio.Event] = attrs.Factory(dict)
     _order: list[str] = attrs.Factory(list)
@@ -75,22 +77,24 @@
 
     async def run(self, address: Address) -> None:
         """Own the socket at `address` until cancelled."""
+        self._outbox, outgoing = anyio.create_memory_object_stream(OUTBOX_PACKETS)
         async with (
             await anyio.create_udp_socket(
                 local_host=address.ip, local_port=address.port
-            ) as self._socket,
+            ) as udp,
             anyio.create_task_group() as self._tasks,
         ):
-            self._tasks.start_soon(self._receive)
+            self._tasks.start_soon(self._receive, udp)
+            self._tasks.start_soon(self._send_all, udp, outgoing)
             while True:
                 self._tasks.start_soon(self._run_round)
                 await anyio.sleep(self.interval * self.rng.uniform(0.8, 1.2))
 
-    async def tell_now(self, repeats: int = 3) -> None:
+    def tell_now(self, repeats: int = 3) -> None:
         """Send pending rumours to peers at once, without waiting for a round."""
         for _ in range(repeats):
             for member in self._choose_peers(FAN_OUT * 2):
-                await self._send(pb.Packet(kind=pb.GOSSIP), member.control)
+                self._send(pb.Packet(kind=pb.GOSSIP), member.control)
 
     async def _run_round(self) -> None:
         now = read_monotonic()
@@ -98,7 +102,7 @@
         self.view.forget_gone(now)
         if len(self.rumors):
             for member in self._choose_peers(FAN_OUT):
-                await self._send(pb.Packet(kind=pb.GOSSIP), member.control)
+                self._send(pb.Packet(kind=pb.GOSSIP), member.control)
         subject = self._choose_subject()
         if subject is not None:
             await self._probe(subject)
@@ -139,12 +143,12 @@
     async def _probe(self, subject: Member) -> None:
         seq, event = self._expect()
         try:
-            await self._send(pb.Packet(kind=pb.PING, seq=seq), subject.control)
+            self._send(pb.Packet(kind=pb.PING, seq=seq), subject.control)
             if await _wait(event, self.interval):
                 return
             for helper in self._choose_peers(HELPERS):
                 request = pb.Packet(kind=pb.PING_REQUEST, seq=seq, subject=subject.node)
-                await self._send(request, helper.control)
+                self._send(request, helper.control)
             if not await _wait(event, 2 * self.interval):
                 self._suspect(subject)
         finally:
@@ -177,53 +181,61 @@
         for node in self._suspects.keys() - suspects:
             del self._suspects[node]
 
-    async def _send(self, packet: pb.Packet, address: Address) -> None:
+    def _send(self, packet: pb.Packet, address: Address) -> None:
         packet.sender = self.view.own.node
         data = seal_packet(self.rumors.fill(packet), self.secret)
         self.counters.add("control_bytes_sent", len(data))
         self.counters.add("datagrams_sent")
         try:
-            await self._socket.sendto(data, address.ip, address.port)
-        except OSError:
+            self._outbox.send_nowait((data, address))
+        except anyio.WouldBlock:
             self.counters.add("datagrams_unsent")
 
-    async def _receive(self) -> None:
-        async for data, source in self._socket:
+    async def _send_all(self, udp: anyio.abc.UDPSocket, outgoing) -> None:
+        """Send what the other tasks put into the outbox, one at a time."""
+        async for data, address in outgoing:
+            try:
+                await udp.sendto(data, address.ip, address.port)
+            except OSError:
+                self.counters.add("datagrams_unsent")
+
+    async def _receive(self, udp: anyio.abc.UDPSocket) -> None:
+        async for data, source in udp:
             self.counters.add("control_bytes_received", len(data))
             try:
                 packet = unseal_packet(data, self.secret)
-                await self._take_packet(packet, Address(source[0], source[1]))
+                self._take_packet(packet, Address(source[0], source[1]))
             except CactusError:
                 self.counters.add("datagrams_refused")
 
-    async def _take_packet(self, packet: pb.Packet, source: Address) -> None:
+    def _take_packet(self, packet: pb.Packet, source: Address) -> None:
         now = read_monotonic()
         for rumor in packet.rumors:
             self.view.merge(load_member(rumor), now)
         for strike in packet.strikes:
             self.on_strike(strike)
         if packet.kind == pb.PING:
-            await self._send(pb.Packet(kind=pb.ACK, seq=packet.seq), source)
+            self._send(pb.Packet(kind=pb.ACK, seq=packet.seq), source)
         elif packet.kind == pb.ACK:
             event = self._waiting.get(packet.seq)
             if event is not None:
                 event.set()
         elif packet.kind == pb.PING_REQUEST:
-            await self._relay_probe(packet, source)
+            self._relay_probe(packet, source)
 
-    async def _relay_probe(self, packet: pb.Packet, source: Address) -> None:
+    def _relay_probe(self, packet: pb.Packet, source: Address) -> None:
         """Probe the subject; its answer is passed on by a waiting task."""
         subject = self.view.get(packet.subject)
         if subject is None:
             return
         seq, event = self._expect()
-        await self._send(pb.Packet(kind=pb.PING, seq=seq), subject.control)
+        self._send(pb.Packet(kind=pb.PING, seq=seq), subject.control)
         asked = packet.seq
 
         async def pass_on() -> None:
             try:
                 if await _wait(event, self.interval):
-                    await self._send(pb.Packet(kind=pb.ACK, seq=asked), source)
+                    self._send(pb.Packet(kind=pb.ACK, seq=asked), source)
             finally:
                 del self._waiting[seq]
 
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -2,11 +2,15 @@
 
 import gc
 import ssl
+from collections.abc import Awaitable, Callable
 
 import anyio
 import grpc
 
 from .clock import read_monotonic, read_wall
+from .duty.evidence import Collector
+from .duty.moves import MoveDuty
+from .duty.withdraw import Withdrawer
 from .member.announce import Targets
 from .member.gossip import Gossip
 from .member.join import Joiner
@@ -40,11 +44,14 @@
 from .spread.reports import Reports
 from .spread.servicer import Servicer
 from .spread.survey import Surveyor
+from .supervise import supervise
 from .wire.channel import SERVER_OPTIONS, PeerGuard, make_server_credentials
 from .wire.control_pb2_grpc import add_ControlServicer_to_server
 
 __all__ = ["Node"]
 
+Task = Callable[[], Awaitable[None]]
+
 RETIRE_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.02
 STOP_SECONDS = 2.0
@@ -158,6 +165,11 @@
 
     def _make_operators(self) -> None:
         editor = Editor(self._port, self.current, self._surveyor, self.counters)
+        collector = Collector(self.settings, self.view, self.counters)
+        self._move_duty = MoveDuty(
+            self._port, self.current, self.view, collector, editor, self.counters
+        )
+        withdrawer = Withdrawer(self.current, self.view, collector, editor)
         reporter = Reporter(
             self.current, self.view, self._follower, self._surveyor, self._gatekeeper
         )
@@ -166,6 +178,7 @@
             self._targets,
             self._gatekeeper,
             editor,
+            withdrawer,
             reporter,
             self.counters,
             self.histograms,
@@ -178,8 +191,8 @@
     def _tell_targets(self, targets: tuple[Target, ...]) -> None:
         self.view.update_own(targets=targets)
 
-    def _count_running(self) -> int:
-        return self._gatekeeper.count_running()
+    def _count_running(self, service: str = "") -> int:
+        return self._gatekeeper.count_running(service)
 
     def _list_gauges(self) -> list[tuple[str, float]]:
         now = read_monotonic()
@@ -202,14 +215,11 @@
             async with anyio.create_task_group() as tasks:
                 for listener in listeners:
                     tasks.start_soon(listener.run)
-                tasks.start_soon(self._gossip.run, self.settings.control)
-                tasks.start_soon(self._gatekeeper.run_upkeep)
-                tasks.start_soon(self._claims.run)
-                tasks.start_soon(self._retire_links)
+                for name, run in self._list_first_tasks():
+                    tasks.start_soon(supervise, name, run, self.counters)
                 await self._joiner.join()
-                tasks.start_soon(self._joiner.run)
-                tasks.start_soon(self._poller.run)
-                tasks.start_soon(self._follower.run)
+                for name, run in self._list_joined_tasks():
+                    tasks.start_soon(supervise, name, run, self.counters)
                 gc.freeze()
                 await stop.wait()
                 await self._drain(listeners)
@@ -220,6 +230,23 @@
                 await self._port.aclose()
         log_event("stopped", version=self.current.number)
 
+    def _list_first_tasks(self) -> list[tuple[str, Task]]:
+        return [
+            ("gossip", lambda: self._gossip.run(self.settings.control)),
+            ("upkeep", self._gatekeeper.run_upkeep),
+            ("claims", self._claims.run),
+            ("links", self._retire_links),
+        ]
+
+    def _list_joined_tasks(self) -> list[tuple[str, Task]]:
+        """Return the tasks that need to know the other nodes."""
+        return [
+            ("seeds", self._joiner.run),
+            ("poll", self._poller.run),
+            ("follow", self._follower.run),
+            ("moves", self._move_duty.run),
+        ]
+
     def _open_listeners(self) -> list[Listener]:
         settings = self.settings
         return [
@@ -250,6 +277,7 @@
             self._reports,
             self.view,
             self._tallies,
+            self._count_running,
             self.counters,
         )
         add_ControlServicer_to_server(servicer, server)
@@ -273,7 +301,7 @@
         self._gatekeeper.leaving = True
         self.view.update_own(state=State.LEFT, targets=())
         log_event("leaving", running=self._count_busy())
-        await self._gossip.tell_now()
+        self._gossip.tell_now()
         # Callers learn by `connection: close` to go elsewhere before the end.
         await anyio.sleep(self.settings.drain_grace)
         with anyio.move_on_after(self.settings.drain_limit):
--- a/cactusshed/observe/tallies.py
+++ b/cactusshed/observe/tallies.py
@@ -47,12 +47,13 @@
         """Start empty."""
         self._tallies: dict[TallyKey, Tally] = {}
 
-    def record(self, key: TallyKey, seconds: float, failed: bool) -> None:
-        """Add one call."""
+    def record(self, key: TallyKey, seconds: float | None, failed: bool) -> None:
+        """Add one call; `None` for its time when that is no evidence."""
         tally = self._tallies.setdefault(key, Tally())
         tally.calls += 1
         tally.failures += failed
-        tally.times[choose_time_bucket(seconds)] += 1
+        if seconds is not None:
+            tally.times[choose_time_bucket(seconds)] += 1
 
     def list_service(self, service: str) -> Iterator[tuple[TallyKey, Tally]]:
         """Yield the tallies of one service."""
--- a/cactusshed/operate/app.py
+++ b/cactusshed/operate/app.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..clock import read_monotonic
+from ..duty.withdraw import Withdrawer
 from ..errors import CactusError, Forbidden, Malformed
 from ..member.announce import Targets, parse_announcement
 from ..observe.counters import Counters
@@ -26,7 +27,7 @@
 from ..serve.headers import find_header
 from ..spread.current import Current
 from .editor import Editor
-from .messages import ChangeRequest, make_histogram_view
+from .messages import ChangeRequest, ClosureRequest, make_histogram_view
 from .report import Reporter
 
 __all__ = ["OperatorApp"]
@@ -55,6 +56,7 @@
     targets: Targets
     gatekeeper: Gatekeeper
     editor: Editor
+    withdrawer: Withdrawer
     reporter: Reporter
     counters: Counters
     histograms: Histograms
@@ -154,6 +156,14 @@
     await send_json(send, await app.editor.accept(asked))
 
 
+async def _close(app: OperatorApp, request: Request, send: Send) -> None:
+    try:
+        asked = msgspec.json.decode(request.body, type=ClosureRequest)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise Malformed(str(error), step="close") from error
+    await send_json(send, await app.withdrawer.accept(asked))
+
+
 async def _show_tree(app: OperatorApp, request: Request, send: Send) -> None:
     await send_json(send, app.editor.view_tree(request.query.get("path", "/")))
 
@@ -184,6 +194,7 @@
     ("GET", "/readyz"): _show_readiness,
     ("GET", "/metrics"): _show_metrics,
     ("POST", "/v1/changes"): _accept,
+    ("POST", "/v1/closures"): _close,
     ("GET", "/v1/tree"): _show_tree,
     ("GET", "/v1/log"): _show_log,
     ("GET", "/v1/explain"): _explain,
--- a/cactusshed/operate/messages.py
+++ b/cactusshed/operate/messages.py
@@ -10,6 +10,7 @@
     "Accepted",
     "BranchView",
     "ChangeRequest",
+    "ClosureRequest",
     "ErrorView",
     "Explanation",
     "GateView",
@@ -32,6 +33,21 @@
     base: dict[str, int]
 
 
+@attrs.frozen
+class ClosureRequest:
+    """Withdraw or return a data centre, or drain or return a node or target.
+
+    `kind` is `withdraw` or `drain`; `name` is what is closed or opened again.
+    """
+
+    change_id: str
+    author: str
+    kind: str
+    name: str
+    closed: bool
+    force: bool = False
+
+
 @attrs.frozen
 class Accepted:
     """Answer to an accepted change."""
--- a/cactusshed/policy/admit.py
+++ b/cactusshed/policy/admit.py
@@ -92,9 +92,11 @@
         self._closed = code
         return [self._refuse(ticket, Refusal(code)) for ticket in self._drain()]
 
-    def open(self) -> None:
-        """Admit again."""
-        self._closed = None
+    def open(self, now: float) -> None:
+        """Admit again; a target that was closed off counts as cold."""
+        if self._closed is not None:
+            self._closed = None
+            self.warmup.chill(now)
 
     def offer(self, ticket: Ticket, now: float) -> list[Ticket]:
         """Decide on `ticket`; return other tickets that it pushed out."""
--- a/cactusshed/policy/ban.py
+++ b/cactusshed/policy/ban.py
@@ -10,7 +10,7 @@
 __all__ = ["Bans"]
 
 WINDOW = 20
-MIN_FAILURES = 4
+MIN_FAILURES = 5
 MIN_RATE = 0.5
 """Share of failures among the last calls at which a version is banned."""
 OLD_FACTOR = 2.0
--- a/cactusshed/serve/gatekeeper.py
+++ b/cactusshed/serve/gatekeeper.py
@@ -25,6 +25,8 @@
 KEPT_ANSWER_BYTES = 64 << 10
 """A larger answer is not kept for settling."""
 UPKEEP_SECONDS = 0.05
+COLD_GRACE_SECONDS = 5.0
+"""Time after its start in which a target's slow answers are no evidence."""
 FAILED_STATUS = 500
 DEFAULT_LIMITS = Limits(20, 64, 0.5, 1, 8.0)
 
@@ -36,6 +38,7 @@
     target: LocalTarget
     gate: Gate
     links: Links
+    opened: float
     waiting: dict[Ticket, anyio.Event] = attrs.Factory(dict)
 
 
@@ -55,9 +58,13 @@
     _doors: dict[str, Door] = attrs.Factory(dict)
     _ended: dict[str, anyio.Event] = attrs.Factory(dict)
 
-    def count_running(self) -> int:
-        """Return the number of calls that the targets of this host run."""
-        return sum(door.gate.running for door in self._doors.values())
+    def count_running(self, service: str = "") -> int:
+        """Return the calls that the targets here run, of one service or of all."""
+        return sum(
+            door.gate.running
+            for door in self._doors.values()
+            if not service or door.target.service == service
+        )
 
     def list_gates(self) -> list[tuple[str, Gate]]:
         """Return the gate of each target by name."""
@@ -71,14 +78,15 @@
             self._doors[target.name] = self._make_door(target, limits)
             return
         if door.target.incarnation != target.incarnation:
-            door.gate.warmup.chill(read_monotonic())
+            door.opened = read_monotonic()
+            door.gate.warmup.chill(door.opened)
             log_event("target-restarted", target=target.name)
         door.target = target
         door.gate.adjust(target.slots, limits)
 
     def _make_door(self, target: LocalTarget, limits: Limits) -> Door:
         links = Links(target.address, self.counters)
-        return Door(target, Gate(target.slots, limits), links)
+        return Door(target, Gate(target.slots, limits), links, read_monotonic())
 
     def _adjust(self, door: Door) -> None:
         """Bring a gate in line with the configuration and the target's health."""
@@ -87,7 +95,7 @@
             door.gate.adjust(door.target.slots, limits)
         closure = self._find_closure(self.targets.get(door.target.name))
         if closure is None:
-            door.gate.open()
+            door.gate.open(read_monotonic())
         else:
             self._notify(door, door.gate.close(closure))
 
@@ -294,7 +302,8 @@
     def _tally(self, call, door, seconds: float, *, failed: bool) -> None:
         target = door.target
         key = TallyKey(target.service, target.version, call.route, target.name)
-        self.tallies.record(key, seconds, failed)
+        is_new = read_monotonic() - door.opened < COLD_GRACE_SECONDS
+        self.tallies.record(key, None if is_new else seconds, failed)
 
     def get_load(self, name: str) -> tuple[int, int]:
         """Return calls running and waiting on a target, and its present limit."""
--- a/cactusshed/spread/servicer.py
+++ b/cactusshed/spread/servicer.py
@@ -1,5 +1,7 @@
 """The control service that other nodes call by gRPC."""
 
+from collections.abc import Callable
+
 import grpc
 
 from ..clock import read_monotonic
@@ -28,6 +30,7 @@
         reports: Reports,
         view: View,
         tallies: Tallies,
+        count_running: Callable[[str], int],
         counters: Counters,
     ) -> None:
         """Answer from the given parts of the node."""
@@ -36,6 +39,7 @@
         self._reports = reports
         self._view = view
         self._tallies = tallies
+        self._count_running = count_running
         self._counters = counters
 
     async def Follow(self, _request_iterator, context):  # noqa: N802
@@ -83,5 +87,8 @@
         ]
         own = self._view.own
         return pb.EvidenceReply(
-            node=own.node, incarnation=own.incarnation, tallies=tallies
+            node=own.node,
+            incarnation=own.incarnation,
+            tallies=tallies,
+            running=self._count_running(request.service),
         )
--- /dev/null
+++ b/cactusshed/tool/duties.py
@@ -0,0 +1,157 @@
+"""Commands of the operators' tool that declare duties."""
+
+import time
+import uuid
+
+import click
+
+from ..errors import CactusError
+from ..operate.messages import Accepted, ClosureRequest, Status, TreeView
+from ..tree.branch import make_progress_path
+from ..tree.edit import Edit
+from .session import (
+    WAIT_PAUSE,
+    NotEverywhere,
+    Session,
+    author_option,
+    change_option,
+    submit_edits,
+    wait_option,
+)
+
+__all__ = ["COMMANDS"]
+
+MOVE_KEYS = ("move-to", "move-by", "move-id")
+
+
+class NoService(CactusError):
+    """The tree has no branch for a service."""
+
+    code = "invalid-tree"
+
+
+def _read_service(session: Session, service: str):
+    """Return the service's branch and the values of its move's progress."""
+    tree = session.ask("GET", "/v1/tree", TreeView)
+    branches = {branch.path: branch for branch in tree.branches}
+    path = f"/*/*/{service}"
+    if path not in branches:
+        raise NoService(f"{path} has no branch", step="move")
+    progress = branches.get(make_progress_path(service))
+    return branches[path], progress.values if progress else {}
+
+
+def _settle_move(values: dict[str, str], progress: dict[str, str]) -> dict[str, str]:
+    """Return the values without their move; one that is done is kept as version."""
+    kept = {key: value for key, value in values.items() if key not in MOVE_KEYS}
+    same = progress.get("move-id") == values.get("move-id")
+    if "move-id" in values and same and progress.get("state") == "done":
+        kept["version"] = values["move-to"]
+    return kept
+
+
+@click.command()
+@click.argument("service")
+@click.option("--to", required=True, help="Version that is to get all calls.")
+@click.option("--within", type=float, required=True, help="Seconds to finish in.")
+@author_option
+@change_option
+@wait_option
+@click.pass_obj
+def move(session: Session, service, to, within, author, change_id, wait) -> None:
+    """Move SERVICE to another version within a time."""
+    branch, progress = _read_service(session, service)
+    change_id = change_id or uuid.uuid4().hex
+    values = _settle_move(branch.values, progress)
+    values["move-to"] = to
+    values["move-by"] = f"{time.time() + within:.3f}"
+    values["move-id"] = change_id
+    edits = [Edit(branch.path, values)]
+    submit_edits(session, edits, {branch.path: branch.version}, author, change_id, wait)
+
+
+@click.command()
+@click.argument("service")
+@author_option
+@change_option
+@wait_option
+@click.pass_obj
+def cancel(session: Session, service, author, change_id, wait) -> None:
+    """End the move of SERVICE: a running one goes back to the old version."""
+    branch, progress = _read_service(session, service)
+    edits = [Edit(branch.path, _settle_move(branch.values, progress))]
+    submit_edits(session, edits, {branch.path: branch.version}, author, change_id, wait)
+
+
+def _close(session: Session, kind, name, closed, force, author, change_id, wait):
+    request = ClosureRequest(
+        change_id or uuid.uuid4().hex, author, kind, name, closed, force
+    )
+    started = time.monotonic()
+    accepted = session.ask("POST", "/v1/closures", Accepted, request)
+    if session.as_json:
+        session.show(accepted, None)
+    else:
+        click.echo(f"accepted version {accepted.number}")
+    if wait:
+        _wait_closed(session, accepted.number, name, closed, started, wait)
+
+
+def _wait_closed(session, number, name, closed, started, wait) -> None:
+    """Wait until every node carries the change and nothing runs where closed."""
+    while time.monotonic() - started < wait:
+        status = session.ask("GET", "/v1/status", Status)
+        carried = all(centre.carries(number) for centre in status.centres)
+        running = sum(c.running for c in status.centres if c.name == name)
+        if carried and not (closed and running):
+            elapsed = time.monotonic() - started
+            click.echo(f"done after {elapsed:.2f} s", err=session.as_json)
+            return
+        time.sleep(WAIT_PAUSE)
+    raise NotEverywhere(f"version {number} is accepted, not done in {wait:g} s")
+
+
+force_option = click.option(
+    "--force", is_flag=True, help="Also when what remains may not bear the load."
+)
+
+
+@click.command()
+@click.argument("data_centre")
+@force_option
+@author_option
+@change_option
+@wait_option
+@click.pass_obj
+def withdraw(session: Session, data_centre, force, author, change_id, wait) -> None:
+    """Send nothing new to DATA_CENTRE."""
+    _close(session, "withdraw", data_centre, True, force, author, change_id, wait)
+
+
+@click.command()
+@click.argument("name")
+@force_option
+@author_option
+@change_option
+@wait_option
+@click.pass_obj
+def drain(session: Session, name, force, author, change_id, wait) -> None:
+    """Send nothing new to the node or target NAME."""
+    _close(session, "drain", name, True, force, author, change_id, wait)
+
+
+@click.command(name="return")
+@click.argument("name")
+@click.option("--drained", is_flag=True, help="NAME is a node or target.")
+@author_option
+@change_option
+@wait_option
+@click.pass_obj
+def take_back(session: Session, name, drained, author, change_id, wait) -> None:
+    """Send calls again to the data centre NAME, or to a drained node or target."""
+    kind = "drain" if drained else "withdraw"
+    _close(session, kind, name, False, False, author, change_id, wait)
+
+
+COMMANDS = (move, cancel, withdraw, drain, take_back)
+"""Commands to be added to the tool."""
--- a/cactusshed/render.py
+++ b/cactusshed/tool/render.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Iterator, Mapping
 
-from .operate.messages import (
+from ..operate.messages import (
     Explanation,
     HistogramView,
     LogEntry,
--- a/cactusshed/tree/table.py
+++ b/cactusshed/tree/table.py
@@ -9,7 +9,15 @@
 from .inherit import Place, list_routes, resolve_place
 from .keys import PROGRESS_KEYS
 
-__all__ = ["EMPTY_TABLE", "Limits", "Move", "Route", "Table", "compile_table"]
+__all__ = [
+    "EMPTY_TABLE",
+    "Limits",
+    "Move",
+    "Route",
+    "Table",
+    "compile_table",
+    "read_progress",
+]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 
@@ -136,7 +144,7 @@
 def _read_move(tree: Tree, service: str, values: dict[str, Any]) -> Move | None:
     if values["move-id"] is None:
         return None
-    progress = _read_progress(tree, service)
+    progress = read_progress(tree, service)
     if progress["move-id"] != values["move-id"]:
         progress = {"share": 0.0, "state": "running", "reason": ""}
     return Move(
@@ -149,7 +157,8 @@
     )
 
 
-def _read_progress(tree: Tree, service: str) -> dict[str, Any]:
+def read_progress(tree: Tree, service: str) -> dict[str, Any]:
+    """Return the progress of a service's move as the duty last wrote it."""
     values = {name: key.default for name, key in PROGRESS_KEYS.items()}
     branch = tree.branches.get(make_progress_path(service))
     if branch is not None:
