--- /dev/null
+++ b/tests/test_gate_machine.py
@@ -0,0 +1,130 @@
+"""Stateful fuzzing of the gate of one target."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cactusshed.policy.admit import Decision, Gate, Ticket
+from cactusshed.tree.keys import CLASSES
+from cactusshed.tree.table import Limits
+
+SLOTS = 6
+
+
+class Gates(RuleBasedStateMachine):
+    """A gate, the tickets offered to it, and an oracle that counts runs."""
+
+    @initialize(slots=st.integers(1, SLOTS), queue=st.integers(0, 8))
+    def start(self, slots, queue):
+        """Open a gate."""
+        self.limits = Limits(slots, queue, 0.5, 1, 8.0)
+        self.gate = Gate(SLOTS, self.limits)
+        self.tickets = []
+        self.now = 0.0
+        self.closed = False
+        self.ceiling = min(SLOTS, slots)
+        self.before = 0
+
+    def _list(self, state):
+        return [ticket for ticket in self.tickets if ticket.state == state]
+
+    @rule(
+        kind=st.sampled_from(CLASSES),
+        left=st.floats(-0.1, 3.0),
+        may_wait=st.booleans(),
+        alone=st.sampled_from([False, False, False, True]),
+    )
+    def offer(self, kind, left, may_wait, alone):
+        """Offer a ticket."""
+        name = str(len(self.tickets))
+        ticket = Ticket(name, kind, self.now + left, may_wait, alone)
+        self.tickets.append(ticket)
+        busy = len(self._list(Decision.ADMITTED))
+        pushed = self.gate.offer(ticket, self.now)
+        assert ticket.state != Decision.NEW
+        assert all(other.state == Decision.REFUSED for other in pushed)
+        if self.closed or left <= 0:
+            assert ticket.state == Decision.REFUSED
+        if alone and busy:
+            assert ticket.state != Decision.ADMITTED
+
+    @rule(index=st.integers(0, 50), latency=st.floats(0.0, 2.0), good=st.booleans())
+    def finish(self, index, latency, good):
+        """End a running or waiting call."""
+        live = self._list(Decision.ADMITTED) + self._list(Decision.QUEUED)
+        if not live:
+            return
+        ticket = live[index % len(live)]
+        if good:
+            self.gate.warmup.note_success("route", latency, self.now)
+        else:
+            self.gate.warmup.note_failure(self.now)
+        self.gate.finish(ticket, self.now)
+
+    @rule(seconds=st.floats(0.0, 1.0))
+    def pass_time(self, seconds):
+        """Let time pass."""
+        self.now += seconds
+        self.gate.advance(self.now)
+
+    @rule()
+    def close(self):
+        """Withdraw the target."""
+        self.gate.close("withdrawn")
+        self.closed = True
+        assert not self._list(Decision.QUEUED)
+
+    @rule()
+    def open(self):
+        """Return the target, which is cold now if it was closed."""
+        self.gate.open(self.now)
+        if self.closed:
+            assert self.gate.get_limit() == 1
+        self.closed = False
+
+    @rule(slots=st.integers(1, SLOTS))
+    def adjust(self, slots):
+        """Change the limit in the tree."""
+        self.limits = Limits(slots, self.limits.queue_length, 0.5, 1, 8.0)
+        self.gate.adjust(SLOTS, self.limits)
+        self.ceiling = min(SLOTS, slots)
+
+    @invariant()
+    def counts_agree(self):
+        """Check the gate's counts against the oracle's."""
+        if not hasattr(self, "gate"):
+            return
+        assert self.gate.running == len(self._list(Decision.ADMITTED))
+        assert self.gate.queued == len(self._list(Decision.QUEUED))
+        assert self.gate.queued <= self.limits.queue_length
+        assert 1 <= self.gate.get_limit() <= self.ceiling
+
+    @invariant()
+    def admits_within_the_limit(self):
+        """Check that a call was admitted only below the limit in force then."""
+        if not hasattr(self, "gate"):
+            return
+        if self.gate.running > self.before:
+            assert self.gate.running <= self.gate.get_limit()
+        self.before = self.gate.running
+
+    @invariant()
+    def never_more_than_it_bears(self):
+        """Check that no more run than ever were allowed at once."""
+        if hasattr(self, "gate"):
+            assert self.gate.running <= SLOTS
+            alone = [t for t in self._list(Decision.ADMITTED) if t.alone]
+            assert not alone or self.gate.running == 1
+
+    @invariant()
+    def nobody_waits_for_nothing(self):
+        """Check that calls wait only while the gate is full or one runs alone."""
+        if not hasattr(self, "gate") or not self._list(Decision.QUEUED):
+            return
+        assert self.gate.running
+
+
+Gates.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestGates = Gates.TestCase
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,288 @@
+"""Policies: verdicts, progress, budgets, bans, quarantine, warm-up, choice."""
+
+import random
+from collections import Counter
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+    MatchesAll,
+)
+
+from cactusshed.member.records import Member, Target
+from cactusshed.member.view import Endpoint
+from cactusshed.observe.tallies import TIME_BUCKETS, choose_time_bucket
+from cactusshed.policy.ban import Bans
+from cactusshed.policy.capacity import ServiceLoad, find_shortfalls
+from cactusshed.policy.pick import order_endpoints, split_tiers
+from cactusshed.policy.progress import Plan, Progress, advance_move, plan_share
+from cactusshed.policy.quarantine import Quarantine
+from cactusshed.policy.retry import RetryBudget
+from cactusshed.policy.verdict import GOOD, Sample, Verdict, judge_version
+from cactusshed.policy.warmup import Warmup
+
+PLAN = Plan("m1", "v2", 0.0, 100.0, 0.05)
+START = Progress("m1", "v2", 0.0, "running", 0.0)
+BAD = Verdict(bad=True, reason="it fails")
+
+
+def make_sample(calls, failures=0, seconds=0.01, target="t1", route="read"):
+    """Return a sample whose calls all took `seconds`."""
+    times = [0] * TIME_BUCKETS
+    times[choose_time_bucket(seconds)] = calls
+    return Sample(route, target, calls, failures, tuple(times))
+
+
+def spread_failures(rate, calls, rng, targets=4):
+    """Return a sample per target whose calls fail at `rate`."""
+    return [
+        make_sample(
+            calls, sum(rng.random() < rate for _ in range(calls)), target=f"t{index}"
+        )
+        for index in range(targets)
+    ]
+
+
+def test_failing_version_is_bad():
+    """Calls that all fail condemn a version after a few."""
+    new = [make_sample(3, 3, target="a"), make_sample(3, 3, target="b")]
+    verdict = judge_version([make_sample(500)], new, 1)
+    assert_that(verdict.reason, Contains("failures on route read"))
+
+
+def test_slow_version_is_bad():
+    """Answers twenty times slower than before condemn a version."""
+    new = [make_sample(10, 0, 0.2, "a"), make_sample(10, 0, 0.2, "b")]
+    verdict = judge_version([make_sample(500)], new, 1)
+    assert_that(verdict.reason, Contains("slow answers"))
+
+
+def test_one_bad_route_is_bad():
+    """A version that fails on one route of two is condemned for that one."""
+    new = [make_sample(200, 0, target=t) for t in "ab"]
+    new += [make_sample(8, 8, target=t, route="list") for t in "ab"]
+    old = [make_sample(500), make_sample(100, route="list")]
+    assert_that(judge_version(old, new, 3).reason, Contains("route list"))
+
+
+def test_sick_target_does_not_condemn():
+    """One failing target among four good ones says nothing of the version."""
+    new = [make_sample(50, 0, target=t) for t in "abc"] + [make_sample(50, 50)]
+    assert_that(judge_version([make_sample(500)], new, 1).bad, Equals(False))
+
+
+def test_thin_traffic_gives_no_verdict():
+    """Two failures are not evidence, whatever their share."""
+    new = [make_sample(2, 2)]
+    assert_that(judge_version([make_sample(500)], new, 1).bad, Equals(False))
+
+
+def test_equally_bad_versions_are_not_told_apart():
+    """A version that fails as often as the old one is not to blame."""
+    old = [make_sample(400, 100)]
+    new = [make_sample(40, 10, target=t) for t in "ab"]
+    assert_that(judge_version(old, new, 1).bad, Equals(False))
+
+
+def test_false_verdicts_are_rare(rng):
+    """Versions at the worst rate allowed, looked at 40 times, are hardly condemned.
+
+    The stated chance is 1 in 100 over all looks; 200 moves allow 6.
+    """
+    condemned = 0
+    for _ in range(200):
+        old = spread_failures(0.02, 200, rng)
+        totals = [make_sample(0, target=f"t{index}") for index in range(4)]
+        for look in range(1, 41):
+            more = spread_failures(0.05, 10, rng)
+            totals = [
+                attrs.evolve(
+                    total,
+                    calls=total.calls + sample.calls,
+                    failures=total.failures + sample.failures,
+                )
+                for total, sample in zip(totals, more, strict=True)
+            ]
+            if judge_version(old, totals, look).bad:
+                condemned += 1
+                break
+    assert_that(condemned, LessThan(7))
+
+
+def test_move_grows_in_doubling_steps_and_ends_in_time():
+    """Looked at twice a second a good move is done before its time."""
+    progress, shares, now = START, [], 0.0
+    while progress.state == "running" and now < 200:
+        now += 0.5
+        after = advance_move(progress, PLAN, now, GOOD, has_targets=True)
+        if after.share > progress.share:
+            shares.append(after.share)
+        progress = after
+    assert_that(progress.state, Equals("done"))
+    assert_that(now, LessThan(PLAN.by))
+    steps = zip(shares, shares[1:], strict=False)
+    assert all(later <= 2 * earlier for earlier, later in steps)
+    assert_that(shares[0], Equals(0.05))
+
+
+@pytest.mark.parametrize("within", [8.0, 10.0, 30.0, 3600.0])
+def test_short_moves_end_in_time_too(within):
+    """Also a short move is done before its time."""
+    plan = attrs.evolve(PLAN, by=within)
+    progress, now = START, 0.0
+    while progress.state == "running":
+        now += 0.5
+        progress = advance_move(progress, plan, now, GOOD, has_targets=True)
+    assert_that(now, LessThan(within + 0.001))
+
+
+def test_bad_verdict_takes_back_for_good():
+    """After a bad verdict the share is 0, whatever comes later."""
+    progress = advance_move(START, PLAN, 50.0, GOOD, has_targets=True)
+    progress = advance_move(progress, PLAN, 51.0, BAD, has_targets=True)
+    assert_that((progress.share, progress.state), Equals((0.0, "reversed")))
+    for now in (52.0, 99.0, 200.0):
+        assert advance_move(progress, PLAN, now, GOOD, has_targets=True) is progress
+
+
+def test_bad_after_done_is_taken_back():
+    """A version that turns bad after its move was done is taken back as well."""
+    done = Progress("m1", "v2", 1.0, "done", 90.0)
+    after = advance_move(done, PLAN, 95.0, BAD, has_targets=True)
+    assert_that((after.share, after.state), Equals((0.0, "reversed")))
+
+
+def test_move_without_targets_waits():
+    """No share goes to a version that no ready target runs."""
+    after = advance_move(START, PLAN, 50.0, GOOD, has_targets=False)
+    assert_that((after.share, after.reason), Equals((0.0, "no ready target of v2")))
+
+
+def test_share_never_falls_while_good():
+    """The plan's share only grows with time and ends at 1."""
+    shares = [plan_share(PLAN, float(now)) for now in range(120)]
+    assert_that(shares, Equals(sorted(shares)))
+    assert_that(shares[-1], Equals(1.0))
+
+
+def test_retries_stay_in_their_ratio():
+    """At 10% no more than a tenth of calls, and a small start, are retried."""
+    budget, taken = RetryBudget(), 0
+    for _ in range(1000):
+        budget.note_call(0.1)
+        taken += budget.take_retry()
+    assert_that(taken, MatchesAll(GreaterThan(98), LessThan(103)))
+
+
+def test_ban_needs_two_targets():
+    """Failures of one target among several ban nothing; of two they do."""
+    bans = Bans()
+    for index in range(10):
+        bans.note("m", True, "good", False, 0.0)
+        assert not bans.note("m", True, "sick", True, float(index))
+    bans = Bans()
+    hits = [bans.note("m", True, f"t{index % 2}", True, 0.0) for index in range(5)]
+    assert_that(hits, Equals([False] * 4 + [True]))
+    assert_that(bans.is_banned("m", 1.0), Equals(True))
+    assert_that(bans.is_banned("m", 60.0), Equals(False))
+
+
+def test_killer_is_refused_and_innocent_acquitted():
+    """A request that kills alone is refused; one that runs alone well is free."""
+    jail = Quarantine()
+    for name in (b"killer", b"innocent"):
+        jail.add_strike(name, b"crash-1", 0.0, alone=False)
+    assert_that(jail.judge(b"innocent", 1.0).alone, Equals(True))
+    jail.acquit(b"innocent")
+    assert_that(jail.judge(b"innocent", 1.0).alone, Equals(False))
+    jail.add_strike(b"innocent", b"crash-1", 1.0, alone=False)
+    assert_that(jail.judge(b"innocent", 1.0).alone, Equals(False))
+    jail.add_strike(b"killer", b"crash-2", 1.0, alone=True)
+    assert_that(jail.judge(b"killer", 2.0).refuse, Equals(True))
+    assert_that(jail.judge(b"killer", 400.0).refuse, Equals(False))
+
+
+def test_two_shared_crashes_refuse_nobody():
+    """A request that was twice near a crash, never alone, is not refused."""
+    jail = Quarantine()
+    jail.add_strike(b"innocent", b"crash-1", 0.0, alone=False)
+    jail.add_strike(b"innocent", b"crash-2", 0.0, alone=False)
+    assert_that(jail.judge(b"innocent", 1.0).refuse, Equals(False))
+
+
+def run_warm(warmup, seconds, latency=0.01, now=0.0):
+    """Feed good answers at 200 a second; return the time after them."""
+    for _ in range(int(seconds * 200)):
+        now += 0.005
+        warmup.note_success("read", latency, now)
+    return now
+
+
+def test_warm_up_starts_low_and_reaches_the_ceiling():
+    """The limit starts at 1 and grows with successes, not at once."""
+    warmup = Warmup(1, 20, 8.0)
+    assert_that(warmup.get_limit(), Equals(1))
+    now = run_warm(warmup, 1.0)
+    assert_that(warmup.get_limit(), LessThan(8))
+    run_warm(warmup, 10.0, now=now)
+    assert_that(warmup.is_warm(), Equals(True))
+
+
+def test_cold_again_drops_at_once():
+    """Three answers ten times slower show a target cold: back to the start."""
+    warmup = Warmup(1, 20, 8.0)
+    now = run_warm(warmup, 10.0)
+    hits = [warmup.note_success("read", 0.2, now) for _ in range(3)]
+    assert_that((hits, warmup.get_limit()), Equals(([False, False, True], 1)))
+
+
+def make_endpoint(name, centre, region="r", slots=20):
+    """Return an endpoint in a data centre."""
+    member = Member(f"n-{name}", region, centre, "127.0.0.1", 1, 2, 1)
+    return Endpoint(member, Target(name, "texts", "v1", slots, True))
+
+
+def test_near_endpoints_come_first(rng):
+    """Same data centre, then same region, then others; each endpoint once."""
+    near, mid, far = (
+        make_endpoint("a", "d1"),
+        make_endpoint("b", "d2"),
+        make_endpoint("c", "d3", "r2"),
+    )
+    own = Member("me", "r", "d1", "127.0.0.1", 1, 2, 1)
+    tiers = split_tiers([far, mid, near], own, lambda _endpoint: False)
+    names = [e.target.name for e in order_endpoints(tiers, lambda _e: 0.0, rng)]
+    assert_that(names, Equals(["a", "b", "c"]))
+
+
+def test_two_choices_spread_load():
+    """With own counts as load no target gets far more than its share."""
+    rng = random.Random(1)
+    endpoints = [make_endpoint(f"t{index}", "d1") for index in range(12)]
+    counts: Counter = Counter()
+
+    def get_load(endpoint):
+        return counts[endpoint.target.name]
+
+    for _ in range(1200):
+        first = next(order_endpoints([endpoints], get_load, rng))
+        counts[first.target.name] += 1
+    assert_that(counts, HasLength(12))
+    assert_that(max(counts.values()), LessThan(110))
+
+
+def test_withdrawal_is_weighed():
+    """A withdrawal is refused when too few slots would remain, and says so."""
+    endpoints = [make_endpoint("a", "d1", slots=6), make_endpoint("b", "d2", slots=6)]
+    heavy, light = [ServiceLoad("texts", 6)], [ServiceLoad("texts", 4)]
+    faults = list(find_shortfalls(endpoints, endpoints[:1], heavy))
+    assert_that(faults, Equals(["texts runs 6 calls, 6 slots would remain"]))
+    assert_that(list(find_shortfalls(endpoints, endpoints[:1], light)), HasLength(0))
+    faults = list(find_shortfalls(endpoints, endpoints, light))
+    assert_that(faults, Equals(["texts would have no target"]))
