Check of the verdict's error now sees an error spent at every look

Before: verdict with ERROR_RATE at each look passes the check. After: with one target and 1,000 moves the bound of 20 (stated 1 in 100, three deviations) is broken by that verdict, and kept by the real one.

--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -93,14 +93,15 @@
 def test_false_verdicts_are_rare(rng):
     """Versions at the worst rate allowed, looked at 40 times, are hardly condemned.
 
-    The stated chance is 1 in 100 over all looks; 200 moves allow 6.
+    With one target there is no second opinion from the others. The stated chance
+    is 1 in 100 over all looks: 10 of 1,000 moves, and 20 at three deviations.
     """
     condemned = 0
-    for _ in range(200):
-        old = spread_failures(0.02, 200, rng)
-        totals = [make_sample(0, target=f"t{index}") for index in range(4)]
+    for _ in range(1000):
+        old = spread_failures(0.02, 1000, rng)
+        totals = [make_sample(0, target="t0")]
         for look in range(1, 41):
-            more = spread_failures(0.05, 10, rng)
+            more = spread_failures(0.05, 10, rng, targets=1)
             totals = [
                 attrs.evolve(
                     total,
@@ -112,7 +113,7 @@
             if judge_version(old, totals, look).bad:
                 condemned += 1
                 break
-    assert_that(condemned, LessThan(7))
+    assert_that(condemned, LessThan(20))
 
 
 def test_move_grows_in_doubling_steps_and_ends_in_time():
