--- /dev/null
+++ b/tests/test_calls_oracle.py
@@ -0,0 +1,287 @@
+"""Calls against an oracle that lists runs, over a network that loses messages.
+
+The real first node (dispatch, claims, settling) talks to real gates through
+links that drop, delay and cross messages, and to targets that die. The oracle
+counts what the targets ran: an answer means one run, a refusal means none, and
+a submission never runs twice, whatever is said.
+"""
+
+import random
+from collections.abc import Callable
+
+import anyio
+import attrs
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cactusshed.clock import read_monotonic
+from cactusshed.member.announce import LocalTarget, Targets
+from cactusshed.member.records import Member, Target
+from cactusshed.member.view import View
+from cactusshed.observe.counters import Counters
+from cactusshed.observe.tallies import Tallies
+from cactusshed.options import Address
+from cactusshed.platform.claim import Claims
+from cactusshed.policy.ban import Bans
+from cactusshed.policy.quarantine import Quarantine
+from cactusshed.serve.claimant import Claimant
+from cactusshed.serve.dispatch import Dispatcher
+from cactusshed.serve.gatekeeper import Gatekeeper
+from cactusshed.serve.links import AnswerMissing, NotSent
+from cactusshed.serve.messages import Answered, Call, NotRun, Reply
+from cactusshed.serve.peer import PeerCaller
+from cactusshed.serve.peers import PeerApp
+from cactusshed.settings import parse_settings
+from cactusshed.spread.current import Current
+from cactusshed.tree.branch import build_tree
+from cactusshed.tree.edit import Edit, make_change
+
+from .fakes import FakePort
+from .test_settings import GOOD
+
+NODES = 3
+HOP_FAULTS = ["ok", "ok", "ok", "unsent", "drop", "late", "unanswered", "crash"]
+TARGET_FAULTS = ["ok", "ok", "ok", "unsent", "die-before", "die-after"]
+COMMIT_FAULTS = ["ok", "ok", "lost", "hang", "down"]
+
+
+class World:
+    """Three nodes with a target each; the fourth takes the calls."""
+
+    def __init__(self, hops, targets, commits):
+        """Script the faults of coming hops, target exchanges and commits."""
+        self.hops, self.exchanges = list(hops), list(targets)
+        self.runs: list[bytes] = []
+        self.late: list[Callable] = []
+        self.nodes = {}
+        self.counters = Counters()
+        self.port = FakePort()
+        self.port.faults = list(commits)
+        self.view = View(make_member("first", 9), lambda _member: None)
+        self.current = make_current()
+        for index in range(NODES):
+            self.start_node(index, incarnation=1)
+
+    def start_node(self, index, incarnation):
+        """Start a node, or start it anew after a crash."""
+        member = make_member(f"n{index}", index + 1, incarnation, f"t{index}")
+        self.view.merge(member, 0.0)
+        targets = Targets(1e9, lambda _targets: None)
+        gatekeeper = Gatekeeper(
+            targets,
+            self.current,
+            self.counters,
+            Tallies(),
+            lambda _call: None,
+            "d",
+            member.node,
+            make_links=lambda *_arguments: TargetLinks(self),
+        )
+        local = LocalTarget(
+            f"t{index}", "s", "v1", Address("127.0.0.1", 1), 5, "i", "ready", 0, 0.0
+        )
+        targets._by_name[local.name] = local
+        gatekeeper.take_announcement(local)
+        app = PeerApp(gatekeeper, self.counters, "", incarnation, 1 << 20)
+        self.nodes[index + 1] = (app, incarnation)
+
+    def make_first_node(self):
+        """Return the parts of the node that takes the calls."""
+        peers = PeerCaller(
+            parse_settings(GOOD),
+            self.counters,
+            make_links=lambda address, *_arguments: HopLinks(self, address),
+        )
+        gatekeeper = Gatekeeper(
+            Targets(1.0, lambda _targets: None),
+            self.current,
+            self.counters,
+            Tallies(),
+            lambda _call: None,
+            "d",
+            "first",
+        )
+        dispatcher = Dispatcher(
+            self.view,
+            self.current,
+            gatekeeper,
+            peers,
+            self.counters,
+            Quarantine(),
+            Bans(),
+            random.Random(1),
+        )
+        claims = Claims(self.port, "first", 10_000, self.counters)
+        return dispatcher, claims, Claimant(claims, self.counters)
+
+
+def make_member(name, port, incarnation=1, target=""):
+    """Return a live member whose calls port tells it apart."""
+    targets = (Target(target, "s", "v1", 5, True),) if target else ()
+    return Member(name, "r", "d", "127.0.0.1", port, port, incarnation, targets=targets)
+
+
+def make_current():
+    """Return a node's version with one route that is not idempotent."""
+    current = Current("r", "d", Counters())
+    edits = [Edit("/*/*/s", {"version": "v1"}), Edit("/*/*/s/r", {"prefix": "/s"})]
+    change, tree = make_change(build_tree(0, ()), "c", "t", 0.0, edits)
+    current.swap(tree, [change])
+    return current
+
+
+class TargetLinks:
+    """Links to a target that may die before or after it ran a request."""
+
+    def __init__(self, world):
+        """Take faults from `world`."""
+        self.world = world
+
+    async def send(self, request, **_limits):
+        """Run one request on the target."""
+        faults = self.world.exchanges
+        fault = faults.pop(0) if faults else "ok"
+        if fault == "unsent":
+            raise NotSent("refused")
+        if fault != "die-before":
+            self.world.runs.append(await read_stream(request))
+        if fault != "ok":
+            raise AnswerMissing("died", peer="t", timed_out=False)
+        return Reply(200, [], b"done")
+
+
+class HopLinks:
+    """Links to a node over a network that loses and delays messages."""
+
+    def __init__(self, world, address):
+        """Reach the node at `address`."""
+        self.world = world
+        self.port = address.port
+
+    async def aclose(self):
+        """Close nothing."""
+
+    async def send(self, request, **_limits):
+        """Carry one request to the node, or not."""
+        faults = self.world.hops
+        fault = faults.pop(0) if faults else "ok"
+        app, incarnation = self.world.nodes[self.port]
+        if fault == "unsent":
+            raise NotSent("refused")
+        if fault == "late":
+            self.world.late.append(lambda: serve_request(self._get_app(), request))
+        if fault == "unanswered" or fault == "crash":
+            await serve_request(app, request)
+        if fault == "crash":
+            self.world.start_node(self.port - 1, incarnation + 1)
+        if fault != "ok":
+            raise AnswerMissing(fault, peer="n", timed_out=False)
+        return await serve_request(app, request)
+
+    def _get_app(self):
+        return self.world.nodes[self.port][0]
+
+
+async def read_stream(request):
+    """Return the body of a request."""
+    return b"".join([chunk async for chunk in request.stream])
+
+
+async def serve_request(app, request):
+    """Have an ASGI application serve a request, and return its reply."""
+    body = await read_stream(request)
+    sent = []
+    scope = {
+        "type": "http",
+        "method": request.method.decode(),
+        "path": request.url.target.decode(),
+        "raw_path": request.url.target,
+        "query_string": b"",
+        "headers": [(key.lower(), value) for key, value in request.headers],
+    }
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(event):
+        sent.append(event)
+
+    await app(scope, receive, send)
+    headers = list(sent[0]["headers"])
+    return Reply(sent[0]["status"], headers, sent[1].get("body", b""))
+
+
+def make_call(world, number, key=""):
+    """Return a submission."""
+    table = world.current.table
+    return Call(
+        call_id=f"call-{number}",
+        method="POST",
+        path=b"/s",
+        headers=[],
+        body=f"body-{key or number}".encode(),
+        deadline=read_monotonic() + 5.0,
+        depth=0,
+        tenant="t",
+        service="s",
+        route="r",
+        kind="normal",
+        idempotent=False,
+        key=key,
+        rule=table.routes[0],
+    )
+
+
+async def run_calls(world, calls):
+    """Run calls one after the other; return each with its outcome."""
+    dispatcher, claims, claimant = world.make_first_node()
+    outcomes = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(claims.run)
+        for call in calls:
+            call = attrs.evolve(call, deadline=read_monotonic() + 0.5)
+            outcomes.append(await claimant.run(call, dispatcher.run))
+            while world.late and world.hops[:1] != ["late"]:
+                await world.late.pop()()
+        while world.late:
+            await world.late.pop()()
+        tasks.cancel_scope.cancel()
+    return outcomes
+
+
+FAULT_LISTS = {
+    "hops": st.lists(st.sampled_from(HOP_FAULTS), max_size=10),
+    "targets": st.lists(st.sampled_from(TARGET_FAULTS), max_size=5),
+}
+SLOW = [HealthCheck.too_slow]
+
+
+@given(**FAULT_LISTS)
+@settings(max_examples=400, deadline=None, derandomize=True, suppress_health_check=SLOW)
+def test_outcomes_are_true(hops, targets):
+    """Each submission runs at most once, and what is said of it is true."""
+    world = World(hops, targets, [])
+    calls = [make_call(world, number) for number in range(3)]
+    outcomes = anyio.run(run_calls, world, calls)
+    for call, outcome in zip(calls, outcomes, strict=True):
+        runs = world.runs.count(call.body)
+        assert runs <= 1
+        if isinstance(outcome, Answered):
+            assert runs == 1
+        if isinstance(outcome, NotRun):
+            assert runs == 0
+
+
+@given(
+    commits=st.lists(st.sampled_from(COMMIT_FAULTS), max_size=6),
+    **FAULT_LISTS,
+)
+@settings(max_examples=120, deadline=None, derandomize=True, suppress_health_check=SLOW)
+def test_keyed_submission_runs_once_ever(hops, targets, commits):
+    """However often a submission is sent again with its key, it runs once at most."""
+    world = World(hops, targets, commits)
+    calls = [make_call(world, number, "key") for number in range(4)]
+    outcomes = anyio.run(run_calls, world, calls)
+    assert len(world.runs) <= 1
+    if any(isinstance(outcome, Answered) for outcome in outcomes):
+        assert len(world.runs) == 1
