--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -28,9 +28,13 @@
 def open_socket(address: Address) -> socket.socket:
     """Return a listening socket at `address`."""
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    return socket.create_server(
+    listener = socket.create_server(
         (address.ip, address.port), family=family, backlog=BACKLOG
     )
+    # Accepted sockets inherit this; asyncio sets it only where the socket names
+    # its protocol, and without it an answer in two writes waits for an ACK.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
 
 
 class Listener:
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,22 @@
+"""Listeners: what their sockets are set to."""
+
+import socket
+
+from testtools.assertions import assert_that
+from testtools.matchers import GreaterThan
+
+from cactusshed.options import Address
+from cactusshed.serve.listener import open_socket
+
+
+def test_accepted_sockets_send_at_once():
+    """Accepted sockets have Nagle's algorithm off.
+
+    Without it each answer in two writes waited 40 ms for an acknowledgement.
+    """
+    listener = open_socket(Address("127.0.0.1", 0))
+    with listener, socket.create_connection(listener.getsockname()):
+        accepted, _ = listener.accept()
+        with accepted:
+            flag = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    assert_that(flag, GreaterThan(0))
