Nodes that start at once find each other: read the seeds before writing one

Cause: two nodes that start together both rank first, and share a seed slot. Each overwrote the other's address and then read its own, in turn, every 10 s; a fleet of two did not form within 20 s (seen once in a test's set-up).

After: seeds are read first and the first rounds come after 0.5, 1, 2, 4 s.

--- a/cactusshed/member/join.py
+++ b/cactusshed/member/join.py
@@ -24,6 +24,7 @@
 
 SEED_SLOTS = 3
 """Seed rows for each data centre, kept by its lowest ranks."""
+FIRST_SEED_SECONDS = 0.5
 SEED_SECONDS = 10.0
 SYNC_SECONDS = 20.0
 SYNC_TIMEOUT = 5.0
@@ -89,15 +90,19 @@
                 await self._sync(peer.control, self.view.get_buckets())
 
     async def _keep_seeds(self) -> None:
-        """On the lowest ranks: write the own seed row, and join unknown seeds."""
+        """On the lowest ranks: join unknown seeds, and write the own seed row."""
+        pause = FIRST_SEED_SECONDS
         while True:
             own = self.view.own
             ranked = [m.node for m in self.view.list_live(own.data_centre)]
             slot = ranked.index(own.node) if own.node in ranked else SEED_SLOTS
             if slot < SEED_SLOTS:
-                await self._write_seed(slot)
+                # Read first: two nodes that start at once share a slot, and
+                # each would only ever see its own address in it.
                 await self._join_unknown()
-            await anyio.sleep(SEED_SECONDS * self.rng.uniform(0.8, 1.2))
+                await self._write_seed(slot)
+            await anyio.sleep(pause * self.rng.uniform(0.5, 1.0))
+            pause = min(SEED_SECONDS, 2 * pause)
 
     async def _write_seed(self, slot: int) -> None:
         own = self.view.own
