Failures in separate processes, and what they showed of the call path

Causes found, each red before: - A settle question was never sent: h11 refuses a request without Host, and it had none. Every request of ours now has one. - A call on a reused silent connection waited for its whole deadline before it was settled, and a settled one had no other endpoint to go to. It is settled after the first-byte time and sent once more to the same endpoint. Idempotent calls are settled too, so that a lost message does not use the retry budget. - A cold target got 18 calls too many in 3 s: the limit grew with successes though nothing showed the target warm. Growth now stays below a quadratic ramp over warm-seconds (default 10 s): 0 too many. - A killer request killed every target within one call's retries. A death is now known at the first node at once, and the call is judged before each attempt. - Refused calls cost peers one exchange for each busy target: at most two are asked before the call waits at a gate, and targets known full come last.

--- a/cactusshed/member/announce.py
+++ b/cactusshed/member/announce.py
@@ -22,7 +22,8 @@
     """What a target says of itself; it repeats this as its heartbeat.
 
     `incarnation` differs each time the target starts. `load` is the number of
-    calls it says it is running, which may lag or mislead.
+    calls it says it is running, which may lag or mislead. `uptime` is the time
+    since its start in seconds.
     """
 
     target: str
@@ -33,6 +34,7 @@
     incarnation: str
     health: str = "ready"
     load: int = 0
+    uptime: float = 0.0
 
 
 @attrs.frozen
@@ -48,6 +50,7 @@
     health: str
     load: int
     heard: float
+    uptime: float = 0.0
 
     def make_public(self) -> Target:
         """Return what peers are told of this target."""
@@ -103,6 +106,7 @@
             said.health,
             said.load,
             now,
+            said.uptime,
         )
         self._store(target)
         return target
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -63,7 +63,7 @@
         region=settings.region,
         data_centre=settings.data_centre,
         ip=settings.control.ip,
-        calls_port=settings.calls.port,
+        calls_port=(settings.calls_advertised or settings.calls).port,
         control_port=settings.control.port,
         incarnation=int(read_wall() * 1000),
     )
@@ -143,7 +143,7 @@
             self._gatekeeper,
             self._peers,
             self.counters,
-            self._crashes.quarantine,
+            self._crashes,
             Bans(),
         )
         self._caller_app = CallerApp(
--- a/cactusshed/policy/admit.py
+++ b/cactusshed/policy/admit.py
@@ -62,7 +62,9 @@
         self._running: set[Ticket] = set()
         self._closed: str | None = None
         ceiling = min(slots, limits.slots)
-        self.warmup = Warmup(limits.warm_start, ceiling, limits.cold_factor)
+        self.warmup = Warmup(
+            limits.warm_start, ceiling, limits.warm_seconds, limits.cold_factor
+        )
         self.highest = 0
         """Most calls that ran at once."""
 
@@ -71,7 +73,9 @@
         self._slots = slots
         self._limits = limits
         ceiling = min(slots, limits.slots)
-        self.warmup.adjust(limits.warm_start, ceiling, limits.cold_factor)
+        self.warmup.adjust(
+            limits.warm_start, ceiling, limits.warm_seconds, limits.cold_factor
+        )
 
     @property
     def running(self) -> int:
--- a/cactusshed/policy/ledger.py
+++ b/cactusshed/policy/ledger.py
@@ -66,6 +66,10 @@
         known = Standing.UNKNOWN if answer is None else Standing.ANSWERED
         self._entries[call_id] = Entry(known, now, answer)
 
+    def forget(self, call_id: str) -> None:
+        """Drop a call that has ended and may be run again."""
+        self._entries.pop(call_id, None)
+
     def settle(self, call_id: str, now: float) -> Entry:
         """Return what is known of a call; one not yet dispatched is fenced."""
         entry = self._entries.get(call_id)
--- a/cactusshed/policy/pick.py
+++ b/cactusshed/policy/pick.py
@@ -9,6 +9,9 @@
 
 __all__ = ["order_endpoints", "select_open", "select_version", "split_tiers"]
 
+FULL_TIER = 3
+SHUNNED_TIER = 4
+
 
 def select_open(endpoints: Iterable[Endpoint], table: Table) -> Iterator[Endpoint]:
     """Yield the endpoints that operators have neither drained nor withdrawn."""
@@ -32,22 +35,26 @@
 def split_tiers(
     endpoints: Iterable[Endpoint],
     own: Member,
+    is_full: Callable[[Endpoint], bool],
     is_shunned: Callable[[Endpoint], bool],
 ) -> list[list[Endpoint]]:
     """Return the endpoints by preference: same data centre, same region, others.
 
-    Suspects and endpoints that failed lately come after all of these.
+    Those known to be full come after all of these, suspects and those that
+    failed lately come last.
     """
-    tiers: list[list[Endpoint]] = [[], [], [], []]
+    tiers: list[list[Endpoint]] = [[] for _ in range(SHUNNED_TIER + 1)]
     for endpoint in endpoints:
-        tiers[_choose_tier(endpoint, own, is_shunned)].append(endpoint)
+        tiers[_choose_tier(endpoint, own, is_full, is_shunned)].append(endpoint)
     return [tier for tier in tiers if tier]
 
 
-def _choose_tier(endpoint, own, is_shunned) -> int:
+def _choose_tier(endpoint, own, is_full, is_shunned) -> int:
     member = endpoint.member
     if member.state == State.SUSPECT or is_shunned(endpoint):
-        return 3
+        return SHUNNED_TIER
+    if is_full(endpoint):
+        return FULL_TIER
     if member.data_centre == own.data_centre:
         return 0
     return 1 if member.region == own.region else 2
--- a/cactusshed/policy/warmup.py
+++ b/cactusshed/policy/warmup.py
@@ -1,8 +1,10 @@
 """Warm-up: how many calls at once a target bears, learnt from its answers.
 
-The limit starts low, grows with successes at a bounded pace, shrinks when
-latency grows (additive increase, multiplicative decrease), and drops to the
-start at once when the target shows itself cold again.
+The limit starts low, grows with successes below a ramp, shrinks when latency
+grows (additive increase, multiplicative decrease), and drops to the start at
+once when the target shows itself cold again. The ramp is quadratic in the time
+for which the target has been answering, since a cold target gives no sign of
+how much it bears until it falls over.
 """
 
 import attrs
@@ -18,6 +20,9 @@
 """Latencies below this are never held against a target."""
 COLD_STREAK = 3
 """Slow answers in a row that show a target cold again."""
+LONGEST_GAP = 0.5
+"""Time without answers beyond this does not warm a target."""
+TRUSTED_PART = 0.7
 SMOOTHING = 0.05
 MIN_SAMPLES = 10
 
@@ -28,6 +33,7 @@
 
     start: int
     ceiling: int
+    ramp_seconds: float
     cold_factor: float
     limit: float = 0.0
     _usual: dict[str, float] = attrs.Factory(dict)
@@ -35,15 +41,20 @@
     _good: int = 0
     _streak: int = 0
     _stepped: float = 0.0
+    _served: float = 0.0
+    _answered: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Begin cold."""
         self.limit = float(min(self.start, self.ceiling))
 
-    def adjust(self, start: int, ceiling: int, cold_factor: float) -> None:
+    def adjust(
+        self, start: int, ceiling: int, ramp_seconds: float, cold_factor: float
+    ) -> None:
         """Take over new settings; the limit never exceeds the ceiling."""
         self.start = start
         self.ceiling = ceiling
+        self.ramp_seconds = ramp_seconds
         self.cold_factor = cold_factor
         self.limit = min(self.limit, float(ceiling))
 
@@ -61,6 +72,17 @@
         self._good = 0
         self._streak = 0
         self._stepped = now
+        self._served = 0.0
+        self._answered = now
+
+    def trust(self) -> None:
+        """Begin half way, for a target that has long been up under another node.
+
+        It was probably serving while this node was away; if it is cold after
+        all, its answers show it.
+        """
+        self._served = TRUSTED_PART * self.ramp_seconds
+        self.limit = self._get_ramp()
 
     def note_success(self, route: str, latency: float, now: float) -> bool:
         """Take in a good answer; return whether it showed the target cold again."""
@@ -72,6 +94,8 @@
         if enough and latency > max(FLOOR_SECONDS, self.cold_factor * usual):
             return self._note_slow(now)
         self._streak = 0
+        self._served += min(LONGEST_GAP, max(0.0, now - self._answered))
+        self._answered = now
         self._learn(route, latency)
         if enough and latency > max(FLOOR_SECONDS, SLOW_FACTOR * usual):
             self._shrink(now)
@@ -101,10 +125,17 @@
         self._good += 1
         if self._good < self.get_limit() or now - self._stepped < GROW_SECONDS:
             return
-        self.limit = min(float(self.ceiling), self.limit + 1.0)
+        self.limit = min(self._get_ramp(), self.limit + 1.0)
         self._good = 0
         self._stepped = now
 
+    def _get_ramp(self) -> float:
+        """Return the highest limit allowed after the time served so far."""
+        if self._served >= self.ramp_seconds:
+            return float(self.ceiling)
+        part = self._served / self.ramp_seconds
+        return max(self.limit, self.start + (self.ceiling - self.start) * part**2)
+
     def _shrink(self, now: float) -> None:
         if now - self._stepped < GROW_SECONDS:
             return
--- a/cactusshed/serve/connection.py
+++ b/cactusshed/serve/connection.py
@@ -35,11 +35,13 @@
 def make_request(
     address: Address, method: str, path: bytes, headers: Headers, body: bytes
 ) -> Request:
-    """Return a request with its length set."""
+    """Return a request with its length set, and a host if it names none."""
     url = httpcore.URL(
         scheme=b"http", host=address.ip.encode(), port=address.port, target=path
     )
     headers = [*headers, (b"content-length", str(len(body)).encode())]
+    if not any(name == b"host" for name, _ in headers):
+        headers.append((b"host", str(address).encode()))
     return httpcore.Request(method, url, headers=headers, content=body)
 
 
--- a/cactusshed/serve/crashes.py
+++ b/cactusshed/serve/crashes.py
@@ -1,6 +1,6 @@
 """Crashes of targets: strikes against the requests that were in flight."""
 
-import secrets
+import hashlib
 
 import attrs
 
@@ -17,6 +17,11 @@
 STRIKE_ID_BYTES = 8
 
 
+def make_strike_id(call_id: str) -> bytes:
+    """Return the id of the strike that both ends of one call add."""
+    return hashlib.blake2b(call_id.encode(), digest_size=STRIKE_ID_BYTES).digest()
+
+
 @attrs.define
 class Crashes:
     """Keeps the quarantine and tells peers of new strikes."""
@@ -32,7 +37,7 @@
         """
         strike = pb.Strike(
             fingerprint=call.compute_fingerprint(),
-            id=secrets.token_bytes(STRIKE_ID_BYTES),
+            id=make_strike_id(call.call_id),
             alone=call.alone,
         )
         log_event("strike", service=call.service, route=call.route)
--- a/cactusshed/serve/dispatch.py
+++ b/cactusshed/serve/dispatch.py
@@ -11,22 +11,28 @@
 from ..observe.events import log_event
 from ..policy.ban import Bans
 from ..policy.pick import order_endpoints, select_open, select_version, split_tiers
-from ..policy.quarantine import Quarantine
 from ..policy.retry import RetryBudget
 from ..policy.share import choose_version, list_versions
 from ..policy.shun import Shunned
 from ..spread.current import Current
 from ..tree.table import Table
+from .crashes import Crashes
 from .gatekeeper import FAILED_STATUS, Gatekeeper
-from .messages import Answered, Call, NotRun, Outcome, Unknown
+from .messages import SETTLED, TARGET_DIED, Answered, Call, NotRun, Outcome, Unknown
 from .peer import PeerCaller
 
 __all__ = ["Dispatcher"]
 
 MAX_PICKS = 8
-"""Endpoints that one call asks without waiting at any."""
+"""Endpoints that one call asks at the most."""
+MAX_PROBES = 2
+"""Busy endpoints after which a call waits at a gate: each refusal costs a peer."""
 MAX_WAITS = 2
-"""Endpoints at whose gate one call waits once all were busy."""
+"""Endpoints at whose gate one call waits, one after the other."""
+SECOND_TRY = 100
+"""Added to the number of an attempt that is made again at the same endpoint."""
+FULL_SECONDS = 0.1
+"""How long a report of a full target keeps calls from it."""
 REPORT_SECONDS = 2.0
 """Age past which a load report counts no more."""
 RETRIED_STATUSES = frozenset({502, 503, 504})
@@ -43,7 +49,7 @@
     gatekeeper: Gatekeeper
     peers: PeerCaller
     counters: Counters
-    quarantine: Quarantine
+    crashes: Crashes
     bans: Bans
     rng: random.Random = attrs.Factory(random.Random)
     shunned: Shunned = attrs.Factory(Shunned)
@@ -81,9 +87,10 @@
 
     def _judge(self, call: Call, endpoints: list[Endpoint]) -> NotRun | None:
         """Refuse a request that crashed targets; let a suspect run alone."""
-        if self.quarantine.is_empty():
+        quarantine = self.crashes.quarantine
+        if quarantine.is_empty():
             return None
-        suspicion = self.quarantine.judge(call.compute_fingerprint(), read_monotonic())
+        suspicion = quarantine.judge(call.compute_fingerprint(), read_monotonic())
         call.alone = suspicion.alone
         if suspicion.refuse:
             self.counters.add("refused_quarantined")
@@ -100,13 +107,21 @@
         for attempt, endpoint in enumerate(self._order(endpoints)):
             if attempt >= MAX_PICKS or read_monotonic() >= call.deadline:
                 break
+            if len(busy) >= MAX_PROBES:
+                break
             outcome = await self._try_one(call, endpoint, attempt, wait=False)
+            if isinstance(outcome, NotRun) and outcome.code == SETTLED:
+                # The message was lost, which says nothing against the target.
+                number = SECOND_TRY + attempt
+                outcome = await self._try_one(call, endpoint, number, wait=False)
             if isinstance(outcome, NotRun):
                 if outcome.code == "target-busy":
                     busy.append(endpoint)
                 continue
             if not self._may_retry(call, outcome, attempt, budget):
                 return outcome
+            if self._judge(call, endpoints) is not None:
+                return outcome
             await _discard(outcome)
         if isinstance(outcome, NotRun):
             return await self._wait_at(call, busy, outcome)
@@ -134,9 +149,22 @@
         def get_load(endpoint: Endpoint) -> float:
             return self._get_load(endpoint, now)
 
-        tiers = split_tiers(endpoints, self.view.own, is_shunned)
+        def is_full(endpoint: Endpoint) -> bool:
+            return self._is_full(endpoint, now)
+
+        tiers = split_tiers(endpoints, self.view.own, is_full, is_shunned)
         return order_endpoints(tiers, get_load, self.rng)
 
+    def _is_full(self, endpoint: Endpoint, now: float) -> bool:
+        name = endpoint.target.name
+        if endpoint.member.node == self.view.own.node:
+            busy, limit = self.gatekeeper.get_load(name)
+            return busy >= limit
+        report = self.peers.loads.get(name)
+        if report is None or now - report.at > FULL_SECONDS:
+            return False
+        return report.busy >= report.limit
+
     def _get_load(self, endpoint: Endpoint, now: float) -> float:
         """Return how full a target seems: own calls, and its last report if new."""
         name = endpoint.target.name
@@ -164,14 +192,16 @@
                 outcome = await self.peers.call(attempted, endpoint)
         finally:
             self._in_flight[name] -= 1
-        self._note(call, endpoint, outcome)
+        self._note(attempted, endpoint, outcome)
         return outcome
 
     def _note(self, call: Call, endpoint: Endpoint, outcome: Outcome) -> None:
         node = endpoint.member.node
         self._note_version(call, endpoint, outcome)
+        if isinstance(outcome, Unknown) and outcome.code == TARGET_DIED:
+            self.crashes.note_crash(call)
         if call.alone and isinstance(outcome, Answered):
-            self.quarantine.acquit(call.compute_fingerprint())
+            self.crashes.quarantine.acquit(call.compute_fingerprint())
         if isinstance(outcome, NotRun) and outcome.code in _UNREACHABLE:
             self.shunned.note_failure(node, read_monotonic())
         elif isinstance(outcome, Answered):
--- a/cactusshed/serve/gatekeeper.py
+++ b/cactusshed/serve/gatekeeper.py
@@ -18,17 +18,27 @@
 from .connection import make_request
 from .headers import keep_end_to_end
 from .links import AnswerMissing, Links, NotSent
-from .messages import Answered, Call, NotRun, Outcome, Reply, Unknown
+from .messages import (
+    TARGET_DIED,
+    Answered,
+    Call,
+    NotRun,
+    Outcome,
+    Reply,
+    Unknown,
+)
 
 __all__ = ["Gatekeeper"]
 
 KEPT_ANSWER_BYTES = 64 << 10
 """A larger answer is not kept for settling."""
 UPKEEP_SECONDS = 0.05
+WARM_FACTOR = 2.0
+"""Warm-up times after which a target that this node did not know may be warm."""
 COLD_GRACE_SECONDS = 5.0
 """Time after its start in which a target's slow answers are no evidence."""
 FAILED_STATUS = 500
-DEFAULT_LIMITS = Limits(20, 64, 0.5, 1, 8.0)
+DEFAULT_LIMITS = Limits(20, 64, 0.5, 1, 10.0, 8.0)
 
 
 @attrs.define(eq=False)
@@ -87,7 +97,10 @@
 
     def _make_door(self, target: LocalTarget, limits: Limits) -> Door:
         links = self.make_links(target.address, self.counters)
-        return Door(target, Gate(target.slots, limits), links, read_monotonic())
+        gate = Gate(target.slots, limits)
+        if target.uptime >= WARM_FACTOR * limits.warm_seconds:
+            gate.warmup.trust()
+        return Door(target, gate, links, read_monotonic())
 
     def _adjust(self, door: Door) -> None:
         """Bring a gate in line with the configuration and the target's health."""
@@ -146,8 +159,6 @@
         return outcome
 
     def _enter_ledger(self, call: Call) -> bool:
-        if call.idempotent:
-            return True
         if not self.ledger.begin(call.call_id, read_monotonic()):
             return False
         self._ended[call.call_id] = anyio.Event()
@@ -160,10 +171,11 @@
         return Unknown("repeated")
 
     def _leave_ledger(self, call: Call, outcome: Outcome | None) -> None:
-        if call.idempotent:
-            return
         now = read_monotonic()
-        if isinstance(outcome, NotRun):
+        if call.idempotent:
+            # It may run again, so nothing of it needs to be known later.
+            self.ledger.forget(call.call_id)
+        elif isinstance(outcome, NotRun):
             self.ledger.refuse(call.call_id, now)
         elif isinstance(outcome, Answered) and _is_kept(outcome.reply):
             self.ledger.finish(call.call_id, now, outcome)
@@ -187,7 +199,7 @@
                 await self._wait_turn(door, ticket)
             if ticket.state != Decision.ADMITTED:
                 return self._refuse(ticket)
-            if not call.idempotent and not self.ledger.dispatch(call.call_id):
+            if not self.ledger.dispatch(call.call_id):
                 return NotRun("fenced")
             outcome = await self._send(call, door)
         except BaseException:
@@ -253,7 +265,7 @@
             reply = await door.links.send(
                 request,
                 deadline=call.deadline,
-                first_byte=call.rule.first_byte if call.rule else math.inf,
+                first_byte=math.inf,
                 once=not call.idempotent,
             )
         except NotSent:
@@ -261,7 +273,7 @@
             return NotRun("target-unreachable")
         except AnswerMissing as error:
             self._note_missing(call, door, started, error)
-            return Unknown("timeout" if error.timed_out else "target-died")
+            return Unknown("timeout" if error.timed_out else TARGET_DIED)
         self._note_answer(call, door, reply, read_monotonic() - started)
         return Answered(reply)
 
--- a/cactusshed/serve/links.py
+++ b/cactusshed/serve/links.py
@@ -103,9 +103,10 @@
     ) -> Reply:
         """Send `request` and return the answer.
 
-        `once` asks for a connection that is fresh or has just answered. On an
-        older one the answer must begin within `first_byte` seconds, else all
-        connections of that age are closed. Raises `NotSent` or `AnswerMissing`.
+        `once` asks for a connection that is fresh or has just answered. On one
+        that was used before, the answer must come within `first_byte` seconds,
+        else all connections of that age are closed. Raises `NotSent` or
+        `AnswerMissing`.
         """
         now = self._used = read_monotonic()
         link = await self._take_idle(now, once)
@@ -113,7 +114,7 @@
         if link is None:
             link = await self._open(deadline - now)
         limit = deadline - read_monotonic()
-        if reused and not once:
+        if reused:
             limit = min(limit, first_byte)
         try:
             with anyio.fail_after(limit):
--- a/cactusshed/serve/messages.py
+++ b/cactusshed/serve/messages.py
@@ -7,7 +7,17 @@
 
 from ..tree.table import Route
 
-__all__ = ["Answered", "Call", "Headers", "NotRun", "Outcome", "Reply", "Unknown"]
+__all__ = [
+    "SETTLED",
+    "TARGET_DIED",
+    "Answered",
+    "Call",
+    "Headers",
+    "NotRun",
+    "Outcome",
+    "Reply",
+    "Unknown",
+]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -85,4 +95,8 @@
     code: str
 
 
+TARGET_DIED = "target-died"
+"""Code of an unknown outcome whose target broke the connection."""
+SETTLED = "settled-not-run"
+"""Code of a call that was lost on its way and is fenced at its target's node."""
 Outcome = Answered | NotRun | Unknown
--- a/cactusshed/serve/peer.py
+++ b/cactusshed/serve/peer.py
@@ -125,12 +125,7 @@
             self.loads[endpoint.target.name] = Load(int(busy), int(limit), now)
 
     async def _settle(self, call: Call, endpoint: Endpoint) -> Outcome:
-        """Ask the node what became of a call whose answer did not come.
-
-        An idempotent call needs no such question: it may be sent again.
-        """
-        if call.idempotent:
-            return Unknown("answer-missing")
+        """Ask the node what became of a call whose answer did not come."""
         self.counters.add("calls_settled")
         for _ in range(MAX_SETTLE_TRIES):
             deadline = max(call.deadline, read_monotonic() + MIN_SETTLE_SECONDS)
--- a/cactusshed/serve/peers.py
+++ b/cactusshed/serve/peers.py
@@ -14,7 +14,7 @@
 from .asgi import Disconnected, Receive, Send, read_body, send_error, send_outcome
 from .gatekeeper import Gatekeeper
 from .headers import find_header, keep_end_to_end, read_count, strip_own
-from .messages import Call, Headers, NotRun, Outcome, Unknown
+from .messages import SETTLED, Call, Headers, NotRun, Outcome, Unknown
 
 __all__ = ["PeerApp"]
 
@@ -110,7 +110,7 @@
         """Fence a call that was not run, or wait for one that is running."""
         ledger = self.gatekeeper.ledger
         entry = ledger.settle(call.call_id, read_monotonic())
-        if entry.standing == Standing.RUNNING:
+        if entry.standing == Standing.RUNNING and not call.idempotent:
             with anyio.move_on_after(max(0.0, call.deadline - read_monotonic())):
                 await self.gatekeeper.wait_ended(call.call_id)
             entry = ledger.settle(call.call_id, read_monotonic())
@@ -119,12 +119,12 @@
 
 def _read_entry(entry: Entry) -> Outcome:
     if entry.standing == Standing.FENCED:
-        return NotRun("settled-not-run")
+        return NotRun(SETTLED)
     if entry.standing == Standing.ANSWERED:
         return entry.answer
     if entry.standing == Standing.RUNNING:
         return Unknown("still-running")
-    return Unknown("target-died")
+    return Unknown("ended-unknown")
 
 
 def _make_call(scope: dict, headers: Headers, body: bytes) -> Call:
--- a/cactusshed/settings.py
+++ b/cactusshed/settings.py
@@ -38,6 +38,7 @@
     token: str
     platform: str
     seeds: tuple[Address, ...] = ()
+    calls_advertised: Address | None = None
     tls_cert: str = ""
     tls_key: str = ""
     tls_ca: str = ""
@@ -86,6 +87,7 @@
     ("callers", "max-body"): ("max_body", parse_int(1024, 1 << 30)),
     ("callers", "max-connections"): ("max_connections", parse_int(1, 100_000)),
     ("peers", "calls"): ("calls", parse_address),
+    ("peers", "calls-advertised"): ("calls_advertised", parse_address),
     ("peers", "control"): ("control", parse_address),
     ("peers", "secret"): ("secret", _parse_secret),
     ("peers", "seeds"): ("seeds", _parse_seeds),
--- a/cactusshed/tree/keys.py
+++ b/cactusshed/tree/keys.py
@@ -62,6 +62,7 @@
     "queue-length": Key(parse_int(0, 100_000), 64),
     "slots": Key(parse_int(1, MAX_SLOTS), 20),
     "warm-start": Key(parse_int(1, MAX_SLOTS), 1),
+    "warm-seconds": Key(parse_float(0, 3600), 10.0),
     "cold-factor": Key(parse_float(1.5, 1000), 8.0),
     "retry-ratio": Key(parse_float(0, 1), 0.1),
     "max-attempts": Key(parse_int(1, 10), 3),
--- a/cactusshed/tree/table.py
+++ b/cactusshed/tree/table.py
@@ -66,6 +66,7 @@
     queue_length: int
     queue_wait: float
     warm_start: int
+    warm_seconds: float
     cold_factor: float
 
 
@@ -177,6 +178,7 @@
                 queue_length=values["queue-length"],
                 queue_wait=values["queue-ms"] / 1000,
                 warm_start=values["warm-start"],
+                warm_seconds=values["warm-seconds"],
                 cold_factor=values["cold-factor"],
             ),
         )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,8 @@
 import httpcore
 import msgspec
 
+from .relay import Relay
+
 __all__ = ["Answer", "Fleet", "NodeSpec", "Process", "fetch", "open_fleet", "wait_for"]
 
 SECRET = "demo-peer-secret"  # noqa: S105
@@ -165,6 +167,7 @@
                 f"listen = {IP}:{self.callers}",
                 "[peers]",
                 f"calls = {IP}:{self.calls}",
+                f"calls-advertised = {IP}:{more.get('calls-port', self.calls)}",
                 f"control = {IP}:{self.control}",
                 f"secret = {SECRET}",
                 f"seeds = {seeds}",
@@ -224,9 +227,13 @@
         region: str = "sn-ouest",
         seeds: str = "",
         extra: dict[str, str] | None = None,
+        relay: Relay | None = None,
     ) -> NodeSpec:
-        """Start a node."""
+        """Start a node, its calls port behind `relay` if one is given."""
         ports = [choose_port() for _ in range(4)]
+        if relay is not None:
+            relay.port = ports[1]
+            extra = {**(extra or {}), "calls-port": str(relay.address[1])}
         spec = NodeSpec(name, region, data_centre, *ports)
         path = self.folder / f"{name}.ini"
         path.write_text(spec.render_settings(self.platform_url, seeds, extra))
@@ -313,9 +320,13 @@
         pairs = (line.rsplit(" ", 1) for line in lines)
         return {name: float(value) for name, value in pairs}
 
+    def fetch_counts(self, target: str) -> dict:
+        """Return what a target has counted."""
+        return fetch("GET", f"{self.target_urls[target]}/runs").decode()
+
     def read_runs(self, target: str) -> list[str]:
         """Return the bodies of the submissions that a target ran."""
-        return fetch("GET", f"{self.target_urls[target]}/runs").decode()["runs"]
+        return self.fetch_counts(target)["runs"]
 
     def stop(self) -> dict[str, int]:
         """Stop targets, nodes, then the platform; return each status."""
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -26,8 +26,11 @@
     return uvicorn.Server(config)
 
 
-async def serve_app(app, address: Address, *tasks) -> None:
-    """Serve `app` at `address` beside `tasks` until SIGTERM or SIGINT."""
+async def serve_app(app, address: Address, *tasks, drain=None) -> None:
+    """Serve `app` at `address` beside `tasks` until SIGTERM or SIGINT.
+
+    `drain`, if given, is awaited before the listener closes.
+    """
     server = make_server(app)
     server.install_signal_handlers = lambda: None
     sock = open_socket(address)
@@ -38,6 +41,8 @@
                 group.start_soon(task)
             async for _ in signals:
                 break
+            if drain is not None:
+                await drain()
             server.should_exit = True
             await anyio.sleep(0.1)
             group.cancel_scope.cancel()
