--- /dev/null
+++ b/bench/spread.py
@@ -0,0 +1,206 @@
+"""How versions spread: convergence, control bytes and platform load by fleet size.
+
+    python -m bench.spread [sizes...]
+
+The baseline in the same run is the plain way: every node polls the head.
+"""
+
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import anyio
+
+from cactusshed.tree.edit import parse_tree_file
+from standins.fleet import Fleet, open_fleet, wait_for
+from standins.plain import PlainNode, run_plain_nodes
+
+from .measure import print_table, take_percentile
+
+SIZES = (8, 16, 32)
+CENTRES = ("recife", "fortaleza", "salvador", "natal")
+CHANGES = 10
+IDLE_SECONDS = 10.0
+TREE = Path(__file__).parent.parent / "examples" / "martelo.ini"
+BYTES = (
+    "cactusshed_control_bytes_sent_total",
+    "cactusshed_control_bytes_received_total",
+)
+
+
+def start_nodes(fleet: Fleet, size: int) -> list[str]:
+    """Start `size` nodes over the data centres and apply the tree."""
+    names = [f"n{index}" for index in range(size)]
+    for index, name in enumerate(names):
+        fleet.start_node(name, CENTRES[index % len(CENTRES)], region="br-ne")
+    fleet.wait_ready(seconds=120)
+    wait_for("members", lambda: count_alive(fleet, names) == size * size, 120)
+    text = TREE.read_text()
+    edits = {path: dict(found) for path, found in parse_tree_file(text).items()}
+    assert fleet.submit(names[0], "first", edits, {}).status == 200
+    wait_for("version 1", lambda: is_everywhere(fleet, names[0], 1), 60)
+    return names
+
+
+def count_alive(fleet: Fleet, names: list[str]) -> int:
+    """Return how many live members the nodes know, all together."""
+    statuses = (fleet.ask(name, "/v1/status")["members"] for name in names)
+    return sum(m["state"] == "alive" for members in statuses for m in members)
+
+
+def is_everywhere(fleet: Fleet, name: str, number: int) -> bool:
+    """Return whether a node reports `number` in force everywhere."""
+    status = fleet.ask(name, "/v1/status")
+    return status["everywhere"] and status["number"] >= number
+
+
+def read_applied(fleet: Fleet, name: str) -> dict[int, float]:
+    """Return the wall time at which a node put each version in force."""
+    import msgspec
+
+    applied = {}
+    for line in fleet.processes[name].read_log().splitlines():
+        if '"cactusshed:version"' in line:
+            entry = msgspec.json.decode(line)
+            applied[entry["number"]] = entry["timestamp"]
+    return applied
+
+
+def sum_counter(fleet: Fleet, names: list[str], *counters: str) -> float:
+    """Return the sum of counters over the nodes."""
+    metrics = [fleet.read_metrics(name) for name in names]
+    return sum(found.get(counter, 0.0) for found in metrics for counter in counters)
+
+
+def measure_changes(fleet: Fleet, names: list[str], rng_step: float) -> dict:
+    """Submit changes and return the seconds to the last node of each, and bytes."""
+    before = sum_counter(fleet, names, *BYTES)
+    reads = fleet.count_platform()["reads"]
+    accepted = {}
+    number = fleet.ask(names[0], "/v1/status")["number"]
+    base = next(
+        b["version"]
+        for b in fleet.ask(names[0], "/v1/tree")["branches"]
+        if b["path"] == "/"
+    )
+    for index in range(CHANGES):
+        values = {"timeout-ms": "3000", "slots": str(6 + index % 2)}
+        started = time.time()
+        answer = fleet.submit(
+            names[index % len(names)], f"c{number}-{index}", {"/": values}, {"/": base}
+        )
+        base = answer.decode()["number"]
+        accepted[base] = started
+        wait_for("carried", lambda base=base: carries(fleet, names, base), 30)
+        time.sleep(rng_step)
+    applied = [read_applied(fleet, name) for name in names]
+    last = [max(a[n] for a in applied) - at for n, at in accepted.items()]
+    return {
+        "last": last,
+        "bytes": sum_counter(fleet, names, *BYTES) - before,
+        "reads": fleet.count_platform()["reads"] - reads,
+    }
+
+
+def carries(fleet: Fleet, names: list[str], number: int) -> bool:
+    """Return whether every node carries `number`."""
+    found = (fleet.read_metrics(name)["cactusshed_version"] for name in names)
+    return all(version >= number for version in found)
+
+
+def measure_idle(fleet: Fleet, names: list[str]) -> tuple[float, float]:
+    """Return control bytes a second and node, and platform reads a second."""
+    time.sleep(2)
+    bytes_before = sum_counter(fleet, names, *BYTES)
+    reads_before = fleet.count_platform()["reads"]
+    time.sleep(IDLE_SECONDS)
+    bytes_after = sum_counter(fleet, names, *BYTES)
+    reads = fleet.count_platform()["reads"] - reads_before
+    rate = (bytes_after - bytes_before) / IDLE_SECONDS / len(names)
+    return rate, reads / IDLE_SECONDS
+
+
+def measure_storm(fleet: Fleet, names: list[str]) -> int:
+    """Kill all nodes, start them together, and return the platform reads."""
+    before = fleet.count_platform()["reads"]
+    for name in names:
+        fleet.processes[name].kill()
+    for name in names:
+        fleet.processes[name].start()
+    fleet.wait_ready(seconds=120)
+    return fleet.count_platform()["reads"] - before
+
+
+def measure_plain(fleet: Fleet, size: int, start: str) -> tuple[list[float], float]:
+    """Return the baseline's seconds to the last node, and reads a second."""
+    nodes = [PlainNode(fleet.platform_url, seed) for seed in range(size)]
+    thread = threading.Thread(target=anyio.run, args=(run_plain_nodes, nodes, 20.0))
+    thread.start()
+    time.sleep(4)
+    reads = sum(node.counters.get("platform_reads") for node in nodes)
+    time.sleep(5)
+    rate = (sum(n.counters.get("platform_reads") for n in nodes) - reads) / 5
+    last = []
+    for _ in range(3):
+        tree = fleet.ask(start, "/v1/tree")["branches"]
+        base = next(b["version"] for b in tree if b["path"] == "/")
+        values = {"timeout-ms": "3000", "slots": str(6 + base % 2)}
+        at = time.monotonic()
+        answer = fleet.submit(start, f"plain-{base}", {"/": values}, {"/": base})
+        number = answer.decode()["number"]
+        wait_for("plain", lambda number=number: has_all(nodes, number))
+        last.append(max(node.reached[number] for node in nodes) - at)
+    thread.join()
+    return last, rate
+
+
+def has_all(nodes: list[PlainNode], number: int) -> bool:
+    """Return whether every node of the baseline carries `number`."""
+    return all(node.tree.number >= number for node in nodes)
+
+
+def measure_size(size: int) -> list:
+    """Return the row of one fleet size."""
+    with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
+        names = start_nodes(fleet, size)
+        idle_bytes, idle_reads = measure_idle(fleet, names)
+        changes = measure_changes(fleet, names, 0.2)
+        plain_last, plain_reads = measure_plain(fleet, size, names[0])
+        storm = measure_storm(fleet, names)
+    return [
+        size,
+        take_percentile(changes["last"], 50),
+        max(changes["last"]),
+        take_percentile(plain_last, 50),
+        idle_bytes,
+        idle_reads,
+        plain_reads,
+        storm,
+        storm / size,
+    ]
+
+
+def main() -> None:
+    """Print a row for each size."""
+    sizes = [int(word) for word in sys.argv[1:]] or list(SIZES)
+    print_table(
+        f"{CHANGES} changes, seconds from submission to the last node",
+        [
+            "nodes",
+            "median s",
+            "worst s",
+            "plain median s",
+            "idle B/s a node",
+            "idle reads/s",
+            "plain reads/s",
+            "storm reads",
+            "storm reads a node",
+        ],
+        [measure_size(size) for size in sizes],
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/cactusshed/serve/asgi.py
+++ b/cactusshed/serve/asgi.py
@@ -21,6 +21,7 @@
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
+DROPPED_BYTES = 8 << 20
 UNAVAILABLE = 503
 TOO_MANY = 429
 BAD_GATEWAY = 502
@@ -53,7 +54,11 @@
 
 
 async def read_body(receive: Receive, limit: int) -> bytes:
-    """Return the whole body; raise `Malformed` past `limit` bytes."""
+    """Return the whole body; raise `TooLarge` past `limit` bytes.
+
+    A little more is read and dropped first: a caller that is still sending
+    would otherwise see its connection reset instead of the refusal.
+    """
     chunks = []
     size = 0
     while True:
@@ -62,10 +67,12 @@
             raise Disconnected
         chunk = event.get("body", b"")
         size += len(chunk)
-        if size > limit:
+        if size <= limit:
+            chunks.append(chunk)
+        is_last = not event.get("more_body")
+        if size > limit and (is_last or size > limit + DROPPED_BYTES):
             raise TooLarge(f"body is larger than {limit} bytes", step="read body")
-        chunks.append(chunk)
-        if not event.get("more_body"):
+        if is_last:
             return b"".join(chunks)
 
 
--- a/cactusshed/serve/peer.py
+++ b/cactusshed/serve/peer.py
@@ -12,7 +12,7 @@
 from ..settings import Settings
 from . import headers as names
 from .connection import make_request
-from .headers import find_header, read_count, strip_own
+from .headers import find_header, keep_end_to_end, read_count, strip_own
 from .links import AnswerMissing, Links, NotSent
 from .messages import Answered, Call, Headers, NotRun, Outcome, Reply, Unknown
 
@@ -115,7 +115,7 @@
             return NotRun(code, read_count(reply.headers, names.RETRY_MS, 0) / 1000)
         if run != b"answered":
             return Unknown(code or "peer-failed")
-        reply.headers = list(strip_own(reply.headers))
+        reply.headers = list(strip_own(keep_end_to_end(reply.headers)))
         return Answered(reply)
 
     def _note_load(self, endpoint: Endpoint, text: bytes | None) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
 TOKEN = "demo-operator-token"  # noqa: S105
 IP = "127.0.0.1"
 STOP_SECONDS = 15.0
+TLS = ("tls-cert", "tls-key", "tls-ca")
 _used_ports: set[int] = set()
 
 
@@ -34,6 +35,7 @@
     status: int
     headers: dict[str, str]
     body: bytes
+    names: tuple[str, ...] = ()
 
     def decode(self):
         """Return the body's JSON value."""
@@ -54,7 +56,8 @@
         method, url, content=body, headers=headers, extensions={"timeout": limits}
     )
     found = {k.decode().lower(): v.decode("latin-1") for k, v in answer.headers}
-    return Answer(answer.status, found, answer.content)
+    names = tuple(k.decode().lower() for k, _ in answer.headers)
+    return Answer(answer.status, found, answer.content, names)
 
 
 def wait_for(what: str, check: Callable[[], bool], seconds: float = 20.0) -> float:
@@ -167,6 +170,7 @@
                 f"listen = {IP}:{self.callers}",
                 "[peers]",
                 f"calls = {IP}:{self.calls}",
+                *(f"{name} = {more[name]}" for name in TLS if name in more),
                 f"calls-advertised = {IP}:{more.get('calls-port', self.calls)}",
                 f"control = {IP}:{self.control}",
                 f"secret = {SECRET}",
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,59 @@
+"""Baseline: nodes that poll the head and fetch every change they lack.
+
+It is the plain way that the feed is compared with: no node talks to another.
+All run as tasks of one process, each with a client and counters of its own.
+"""
+
+import random
+import time
+
+import anyio
+
+from cactusshed.errors import CactusError
+from cactusshed.observe.counters import Counters
+from cactusshed.platform.accept import load_head, load_since
+from cactusshed.platform.client import Client
+from cactusshed.tree.branch import build_tree
+
+__all__ = ["PlainNode", "run_plain_nodes"]
+
+POLL_SECONDS = 1.0
+
+
+class PlainNode:
+    """One node that polls the platform by itself."""
+
+    def __init__(self, url: str, seed: int) -> None:
+        """Poll the platform at `url`."""
+        self.counters = Counters()
+        self.tree = build_tree(0, ())
+        self.reached: dict[int, float] = {}
+        self._client = Client(url, 2.0, self.counters)
+        self._rng = random.Random(seed)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        try:
+            while True:
+                await anyio.sleep(POLL_SECONDS * self._rng.uniform(0.8, 1.2))
+                await self._poll()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._client.aclose()
+
+    async def _poll(self) -> None:
+        try:
+            head = await load_head(self._client)
+            if head.number > self.tree.number:
+                self.tree, _ = await load_since(self._client, self.tree, head)
+                self.reached[head.number] = time.monotonic()
+        except CactusError:
+            self.counters.add("polls_failed")
+
+
+async def run_plain_nodes(nodes: list[PlainNode], seconds: float) -> None:
+    """Run `nodes` for `seconds`."""
+    with anyio.move_on_after(seconds):
+        async with anyio.create_task_group() as tasks:
+            for node in nodes:
+                tasks.start_soon(node.run)
--- /dev/null
+++ b/tests/test_connection.py
@@ -0,0 +1,95 @@
+"""Client connections: answers in pieces, cut short, interim and malformed."""
+
+import anyio
+import httpcore
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cactusshed.options import Address
+from cactusshed.serve.connection import exchange, make_request, open_connection
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"
+
+
+async def run_exchange(parts, method, then_close):
+    """Exchange one request with a server that sends `parts` one by one."""
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            for part in parts:
+                await stream.send(part)
+                await anyio.sleep(0.002)
+            if not then_close:
+                await anyio.sleep(0.05)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    address = Address("127.0.0.1", port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        connection = await open_connection(address, None, 1.0)
+        request = make_request(address, method, b"/", [], b"")
+        try:
+            with anyio.fail_after(2.0):
+                reply = await exchange(connection, request)
+            result = (reply, connection.is_available())
+        except httpcore.ProtocolError as error:
+            result = error
+        await connection.aclose()
+        tasks.cancel_scope.cancel()
+    return result
+
+
+def ask(parts, method="GET", then_close=False):
+    """Return the reply to one request, and whether the connection stays usable."""
+    result = anyio.run(run_exchange, parts, method, then_close)
+    if isinstance(result, Exception):
+        raise result
+    return result
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [OK],
+        [OK[i : i + 1] for i in range(len(OK))],
+        [b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel", b"\r\n"]
+        + [b"2\r\nlo\r\n", b"0\r\n\r\n"],
+        [b"HTTP/1.1 100 Continue\r\n\r\n", OK],
+    ],
+)
+def test_whole_answers_arrive(parts):
+    """An answer arrives whole, in whatever pieces, and the connection is reused."""
+    reply, usable = ask(parts)
+    assert_that((reply.status, reply.body, usable), Equals((200, b"hello", True)))
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [OK[:-1]],
+        [b"HTTP/1.1 200 OK\r\n\r\nhello"],
+        [b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n"],
+        [b"nonsense\r\n\r\n"],
+        [b""],
+        [b"HTTP/1.1 200 OK\r\nx: " + b"y" * 70_000, b"\r\n\r\n"],
+    ],
+)
+def test_cut_and_malformed_answers_are_refused(parts):
+    """An answer that is cut, unframed, malformed or oversized is not passed on."""
+    with pytest.raises(httpcore.RemoteProtocolError):
+        ask(parts, then_close=True)
+
+
+def test_answer_to_head_has_no_body():
+    """The length in an answer to HEAD is not waited for."""
+    reply, usable = ask([b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"], "HEAD")
+    assert_that((reply.status, reply.body, usable), Equals((200, b"", False)))
+
+
+def test_close_is_respected():
+    """A connection that the other side will close is not used again."""
+    parts = [OK.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")]
+    assert_that(ask(parts)[1], Equals(False))
