--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -36,6 +36,7 @@
 from .serve.listener import Listener
 from .serve.peer import PeerCaller
 from .serve.peers import PeerApp
+from .serve.watch import Watcher
 from .settings import Settings
 from .spread.current import Current
 from .spread.feed import Feed
@@ -133,6 +134,7 @@
             settings.data_centre,
             settings.node,
         )
+        self._watcher = Watcher()
         self._peers = PeerCaller(settings, self.counters, _make_context(settings))
         self._claims = Claims(
             self._port, settings.node, settings.claim_rate, self.counters
@@ -154,6 +156,7 @@
             self.histograms,
             settings.max_body,
             lambda: self.leaving,
+            self._watcher,
         )
         self._peer_app = PeerApp(
             self._gatekeeper,
@@ -161,6 +164,7 @@
             settings.secret,
             self.view.own.incarnation,
             settings.max_body,
+            self._watcher,
         )
 
     def _make_operators(self) -> None:
@@ -236,6 +240,7 @@
             ("upkeep", self._gatekeeper.run_upkeep),
             ("claims", self._claims.run),
             ("links", self._retire_links),
+            ("watch", self._watcher.run),
         ]
 
     def _list_joined_tasks(self) -> list[tuple[str, Task]]:
--- a/cactusshed/serve/callers.py
+++ b/cactusshed/serve/callers.py
@@ -3,7 +3,6 @@
 import secrets
 from collections.abc import Callable
 
-import anyio
 import attrs
 
 from ..clock import read_monotonic
@@ -24,6 +23,7 @@
 from .dispatch import Dispatcher
 from .headers import find_header, keep_end_to_end, read_count, strip_own
 from .messages import Answered, Call, Headers, NotRun, Outcome, Unknown
+from .watch import Watcher
 
 __all__ = ["CallerApp"]
 
@@ -48,6 +48,7 @@
     histograms: Histograms
     max_body: int
     is_leaving: Callable[[], bool]
+    watcher: Watcher
     running: int = 0
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -127,18 +128,7 @@
         """
         if not call.idempotent:
             return await self.claimant.run(call, self.dispatcher.run)
-        outcome = None
-        async with anyio.create_task_group() as tasks:
-
-            async def watch() -> None:
-                while (await receive())["type"] != "http.disconnect":
-                    continue
-                tasks.cancel_scope.cancel()
-
-            tasks.start_soon(watch)
-            outcome = await self.dispatcher.run(call)
-            tasks.cancel_scope.cancel()
-        return outcome
+        return await self.watcher.guard(receive, self.dispatcher.run, call)
 
     def _count(self, outcome: Outcome) -> None:
         if isinstance(outcome, Answered):
--- a/cactusshed/serve/peers.py
+++ b/cactusshed/serve/peers.py
@@ -15,6 +15,7 @@
 from .gatekeeper import Gatekeeper
 from .headers import find_header, keep_end_to_end, read_count, strip_own
 from .messages import SETTLED, Call, Headers, NotRun, Outcome, Unknown
+from .watch import Watcher
 
 __all__ = ["PeerApp"]
 
@@ -31,6 +32,7 @@
     secret: str
     incarnation: int
     max_body: int
+    watcher: Watcher
     running: int = 0
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -87,24 +89,8 @@
         self.counters.add("peer_calls")
         if not call.idempotent:
             return await self.gatekeeper.run(call, target)
-        return await self._run_watched(call, target, receive)
-
-    async def _run_watched(
-        self, call: Call, target: str, receive: Receive
-    ) -> Outcome | None:
-        """Run an idempotent call; cancel it when the first node goes away."""
-        outcome = None
-        async with anyio.create_task_group() as tasks:
-
-            async def watch() -> None:
-                while (await receive())["type"] != "http.disconnect":
-                    continue
-                tasks.cancel_scope.cancel()
-
-            tasks.start_soon(watch)
-            outcome = await self.gatekeeper.run(call, target)
-            tasks.cancel_scope.cancel()
-        return outcome
+        # An idempotent call is cancelled when the first node goes away.
+        return await self.watcher.guard(receive, self.gatekeeper.run, call, target)
 
     async def _settle(self, call: Call) -> Outcome:
         """Fence a call that was not run, or wait for one that is running."""
--- a/tests/test_calls_oracle.py
+++ b/tests/test_calls_oracle.py
@@ -33,6 +33,7 @@
 from cactusshed.serve.messages import Answered, Call, NotRun, Reply
 from cactusshed.serve.peer import PeerCaller
 from cactusshed.serve.peers import PeerApp
+from cactusshed.serve.watch import Watcher
 from cactusshed.settings import parse_settings
 from cactusshed.spread.current import Current
 from cactusshed.tree.branch import build_tree
@@ -84,7 +85,7 @@
         )
         targets._by_name[local.name] = local
         gatekeeper.take_announcement(local)
-        app = PeerApp(gatekeeper, self.counters, "", incarnation, 1 << 20)
+        app = PeerApp(gatekeeper, self.counters, "", incarnation, 1 << 20, Watcher())
         self.nodes[index + 1] = (app, incarnation)
 
     def make_first_node(self):
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -13,6 +13,7 @@
 from cactusshed.member.records import load_member
 from cactusshed.observe.counters import Counters
 from cactusshed.serve.peers import PeerApp
+from cactusshed.serve.watch import Watcher
 from cactusshed.settings import parse_settings
 from cactusshed.spread.current import Current
 from cactusshed.spread.messages import Receiver
@@ -176,6 +177,6 @@
         "query_string": b"",
         "headers": headers,
     }
-    app = PeerApp(None, Counters(), "", 1, 1000)
+    app = PeerApp(None, Counters(), "", 1, 1000, Watcher())
     anyio.run(app, scope, receive, send)
     assert sent[0]["status"] in (400, 503)
