Routes are found by the first segment; a prefix ends where a segment ends

Cause: find_route went through all routes of all services for each call, 1,260 at the size to design for; and /texts took /textsandmore as well.

Ruled out: a trie; the first segment leaves a handful of routes to compare.

Red before: the check on /textsandmore, with the old comparison put back. Branch digests are kept on the branch, so a change hashes what it touched.

--- a/cactusshed/tree/branch.py
+++ b/cactusshed/tree/branch.py
@@ -75,7 +75,7 @@
         raise InvalidTree(f"path {path!r}: a data centre needs its region")
 
 
-@attrs.frozen
+@attrs.frozen(slots=False)
 class Branch:
     """The values set at one branch, and the change that last touched it."""
 
@@ -83,7 +83,8 @@
     values: Mapping[str, str]
     version: int
 
-    def compute_digest(self) -> bytes:
+    @cached_property
+    def digest(self) -> bytes:
         """Return the 32-byte SHA-256 digest of path, values and version."""
         plain = (self.path, sorted(self.values.items()), self.version)
         return hashlib.sha256(msgspec.json.encode(plain)).digest()
@@ -101,7 +102,7 @@
         """Return the hexadecimal SHA-256 digest over all branches."""
         total = hashlib.sha256(str(self.number).encode())
         for path in sorted(self.branches):
-            total.update(self.branches[path].compute_digest())
+            total.update(self.branches[path].digest)
         return total.hexdigest()
 
 
--- a/cactusshed/tree/table.py
+++ b/cactusshed/tree/table.py
@@ -1,6 +1,7 @@
 """The route table that a node compiles from a version for its own place."""
 
-from collections.abc import Iterator
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -80,18 +81,37 @@
     limits: dict[str, Limits]
     withdrawn: frozenset[str]
     drained: frozenset[str]
+    index: dict[str, tuple[Route, ...]]
+    """Routes by the first segment of their prefix, longest prefix first."""
 
     def find_route(self, method: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that takes the request."""
-        for route in self.routes:
-            if path.startswith(route.prefix) and (
-                not route.methods or method in route.methods
-            ):
-                return route
+        """Return the route with the longest prefix that takes the request.
+
+        A prefix ends where a segment of the path ends.
+        """
+        first = path.split("/", 2)[1] if path.startswith("/") else ""
+        for segment in (first, ""):
+            for route in self.index.get(segment, ()):
+                if _takes(route, method, path):
+                    return route
         return None
 
 
-EMPTY_TABLE = Table(0, "", (), {}, frozenset(), frozenset())
+def _takes(route: Route, method: str, path: str) -> bool:
+    if route.methods and method not in route.methods:
+        return False
+    below = route.prefix if route.prefix.endswith("/") else route.prefix + "/"
+    return path == route.prefix or path.startswith(below)
+
+
+def _index_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    index: dict[str, list[Route]] = defaultdict(list)
+    for route in routes:
+        index[route.prefix.split("/", 2)[1]].append(route)
+    return {segment: tuple(found) for segment, found in index.items()}
+
+
+EMPTY_TABLE = Table(0, "", (), {}, frozenset(), frozenset(), {})
 
 
 def compile_table(tree: Tree, region: str, data_centre: str) -> Table:
@@ -106,6 +126,7 @@
         limits,
         frozenset(_collect_withdrawn(tree)),
         frozenset(_collect_drained(tree)),
+        _index_routes(routes),
     )
 
 
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -86,6 +86,16 @@
     assert_that(table.find_route("GET", "/nothing"), Equals(None))
 
 
+def test_prefix_ends_with_a_segment(tree):
+    """`/texts` takes `/texts` and what is below it, not `/textsandmore`."""
+    table = compile_table(tree, "sn-ouest", "dakar")
+    assert_that(table.find_route("GET", "/texts").name, Equals("read"))
+    assert_that(table.find_route("GET", "/textsandmore"), Equals(None))
+    grown = grow(tree, "/*/*/texts/all", prefix="/")
+    table = compile_table(grown, "sn-ouest", "dakar")
+    assert_that(table.find_route("GET", "/textsandmore").name, Equals("all"))
+
+
 def test_malformed_tree_files_are_refused():
     """A tree file with a repeated section or key changes nothing."""
     for text in ("[/]\na=1\na=2\n", "[/]\n[/]\n", "a = 1\n", "[/\n"):
