A parent that failed is left for a while, not taken up again at once

Cause: one fresh update from the second parent reset the count of failures, and the first, stale one was best again: a node below a cut-off parent changed parents every second.

Red before: the check that the second parent stays best (with the sort taken out). After: a parent that failed comes last for 15 s.

--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,249 @@
+"""Moves, withdrawals and cold targets under load, with a baseline in the same run.
+
+    python -m bench.moves
+
+Shares and counts are what matters here; the baseline sends each call to a random
+target, retries blindly, and knows no warm-up.
+"""
+
+import random
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+
+from cactusshed.tree.edit import parse_tree_file
+from standins.caller import Load, Result, Shot
+from standins.fleet import Fleet, open_fleet, wait_for
+
+from .measure import print_table, take_percentile
+
+RATE = 150
+WARM_SECONDS = 12.0
+MOVE_SECONDS = 12.0
+WATCH_SECONDS = 4.0
+CENTRES = ("dakar", "thies", "kaolack", "ziguinchor")
+TREE = """
+[/]
+slots = {slots}
+[/*/*/texts]
+version = v1
+[/*/*/texts/read]
+prefix = /texts
+[/*/*/texts/list]
+prefix = /texts/list
+"""
+WAYS: dict[str, tuple[str, ...]] = {
+    "good": (),
+    "fails at once": ("--fail-ratio=1.0",),
+    "fails one call in five": ("--fail-ratio=0.2",),
+    "fails later": ("--fail-ratio=1.0", f"--fail-after={WARM_SECONDS + 9:g}"),
+    "fails on one route": ("--fail-ratio=1.0", "--fail-path=/texts/list"),
+    "is slow": ("--ms=150",),
+    "fails under load": ("--overload-fails=2",),
+}
+
+
+@attrs.frozen
+class Workload:
+    """Size of a workload: slots of a target, and the data centres."""
+
+    name: str
+    slots: int
+
+
+WORKLOADS = (Workload("Teranga, 4 targets of 20", 20), Workload("Martelo, 4 of 6", 6))
+
+
+def make_shot(index: int) -> Shot:
+    """Return a read, one in five of the list."""
+    return Shot("GET", "/texts/list" if index % 5 == 0 else "/texts/1")
+
+
+def start(fleet: Fleet, slots: int, options: tuple[str, ...], with_new: bool) -> None:
+    """Start a node and targets in each data centre, and apply the tree."""
+    for centre in CENTRES:
+        fleet.start_node(centre, centre)
+        size = f"--slots={slots}"
+        fleet.start_target(f"texts-{centre}-a", centre, "texts", "v1", size)
+        if with_new:
+            fleet.start_target(
+                f"texts-{centre}-b", centre, "texts", "v2", size, *options
+            )
+    fleet.wait_ready()
+    fleet.wait_targets("dakar", "texts", len(CENTRES) * (2 if with_new else 1))
+    text = TREE.format(slots=slots)
+    edits = {path: dict(found) for path, found in parse_tree_file(text).items()}
+    assert fleet.submit("dakar", "first", edits, {}).status == 200
+
+
+def get_urls(fleet: Fleet) -> list[str]:
+    """Return the callers' URL of every node."""
+    return [spec.callers_url for spec in fleet.nodes.values()]
+
+
+def get_move(fleet: Fleet) -> dict:
+    """Return the one move as the first node sees it."""
+    return fleet.ask("dakar", "/v1/status")["moves"][0]
+
+
+def start_move(fleet: Fleet) -> None:
+    """Declare the move to v2."""
+    values = {
+        "version": "v1",
+        "move-to": "v2",
+        "move-by": f"{time.time() + MOVE_SECONDS:.3f}",
+        "move-id": "m1",
+    }
+    answer = fleet.submit("dakar", "m1", {"/*/*/texts": values}, {"/*/*/texts": 1})
+    assert answer.status == 200, answer.body
+
+
+def measure_way(way: str, options: tuple[str, ...]) -> list:
+    """Return the row of one way of being bad."""
+    with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
+        start(fleet, 20, options, with_new=True)
+        with Load(get_urls(fleet), make_shot, RATE) as load:
+            time.sleep(WARM_SECONDS)
+            start_move(fleet)
+            began = load.read_clock()
+            ended = _wait_end(fleet, load, began)
+            time.sleep(WATCH_SECONDS)
+        move = get_move(fleet)
+        after = fleet.nodes and [r for r in load.results if r.at >= began]
+    bad = [r for r in after if r.status != 200]
+    new = [r for r in after if r.version == "v2"]
+    late = [r for r in after if r.at > ended + 2.0 and (r.version == "v2" or r in bad)]
+    share = (len(new) + len(bad)) / len(after) if move["state"] == "reversed" else 1.0
+    late_count = len(late) if move["state"] == "reversed" else 0
+    return [
+        way,
+        move["state"],
+        ended - began,
+        share,
+        len(bad),
+        len(after),
+        late_count,
+        move["reason"],
+    ]
+
+
+def _wait_end(fleet: Fleet, load: Load, began: float) -> float:
+    """Return the time at which the move was done or reversed, as callers' clock."""
+    while load.read_clock() < began + MOVE_SECONDS + 12:
+        if get_move(fleet)["state"] == "reversed":
+            break
+        done = get_move(fleet)["state"] == "done"
+        if done and load.read_clock() > began + MOVE_SECONDS + 6:
+            break
+        time.sleep(0.1)
+    if get_move(fleet)["state"] == "reversed":
+        return load.read_clock()
+    entries = fleet.ask("dakar", "/v1/log?limit=100")
+    since = max(float(e["edits"][0]["values"].get("since", 0)) for e in entries)
+    return began + since - _read_start(entries)
+
+
+def _read_start(entries: list) -> float:
+    return next(e["time"] for e in entries if e["change_id"] == "m1")
+
+
+def measure_withdrawal(workload: Workload) -> list[list]:
+    """Return a row for each phase of a data centre's leave and return."""
+    with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
+        start(fleet, workload.slots, (), with_new=False)
+        path = "/sn-ouest/thies"
+        with Load(get_urls(fleet), make_shot, RATE) as load:
+            time.sleep(WARM_SECONDS)
+            marks = [load.read_clock()]
+            time.sleep(4)
+            answer = fleet.submit("dakar", "w", {path: {"withdrawn": "yes"}}, {path: 0})
+            marks.append(load.read_clock())
+            time.sleep(5)
+            base = {path: answer.decode()["number"]}
+            fleet.submit("dakar", "r", {path: {"withdrawn": "no"}}, base)
+            marks.append(load.read_clock())
+            time.sleep(5)
+            marks.append(load.read_clock())
+    rows = []
+    for index, phase in enumerate(("before", "withdrawn", "returned")):
+        part = [r for r in load.results if marks[index] <= r.at < marks[index + 1]]
+        rows.append([workload.name, phase, *_summarise(part, marks[index])])
+    return rows
+
+
+def _summarise(part: list[Result], began: float) -> list:
+    good = sum(r.status == 200 for r in part) / len(part)
+    times = [1000 * r.seconds for r in part]
+    there = [r.at - began for r in part if r.target == "texts-thies-a"]
+    return [
+        len(part),
+        good,
+        take_percentile(times, 50),
+        take_percentile(times, 99),
+        len(there) / len(part),
+        max(there, default=0.0),
+    ]
+
+
+def measure_cold() -> list[list]:
+    """Return a row each for the system and the baseline: a cold target's load."""
+    rows = []
+    cold = ("--cold-seconds=5", "--cold-ms=60", "--cold-bears=3")
+    ways: dict[str, Callable[[Fleet], list[str]]] = {
+        "cactusshed": get_urls,
+        "random choice, no warm-up": lambda fleet: list(fleet.target_urls.values()),
+    }
+    for name, choose in ways.items():
+        with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
+            start(fleet, 20, (), with_new=False)
+            rng = random.Random(5)
+            with Load(choose(fleet), make_shot, 4 * RATE) as load:
+                time.sleep(WARM_SECONDS)
+            assert load.results
+            fleet.start_target("texts-cold", "dakar", "texts", "v1", *cold)
+            wait_for("cold", lambda fleet=fleet: fleet.fetch_counts("texts-cold"))
+            urls = choose(fleet)
+            rng.shuffle(urls)
+            with Load(urls, make_shot, 4 * RATE) as load:
+                time.sleep(5)
+            counts = fleet.fetch_counts("texts-cold")
+            statuses = Counter(result.status for result in load.results)
+            good = statuses[200] / len(load.results)
+            rows.append([name, 3, counts["highest"], counts["overload"], good])
+    return rows
+
+
+def main() -> None:
+    """Print the tables."""
+    print_table(
+        f"Moves within {MOVE_SECONDS:g} s at {RATE} calls/s on 4+4 targets",
+        [
+            "new version",
+            "end",
+            "after s",
+            "share of calls it got",
+            "failed",
+            "calls",
+            "it got 2 s after the end",
+            "evidence",
+        ],
+        [measure_way(way, options) for way, options in WAYS.items()],
+    )
+    print_table(
+        f"A data centre of four leaves and returns at {RATE} calls/s",
+        ["workload", "phase", "calls", "good", "p50 ms", "p99 ms", "there", "last s"],
+        [row for workload in WORKLOADS for row in measure_withdrawal(workload)],
+    )
+    print_table(
+        f"A cold target that bears 3 at once, {4 * RATE} calls/s on 4 targets",
+        ["policy", "bears", "most at once", "calls too many", "good"],
+        measure_cold(),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/cactusshed/spread/follow.py
+++ b/cactusshed/spread/follow.py
@@ -29,6 +29,8 @@
 """Time without any message after which a parent is given up."""
 REPORT_SECONDS = 1.0
 RECHECK_SECONDS = 1.0
+AVOID_SECONDS = 15.0
+"""Time for which a parent that failed comes after the others."""
 FIRST_PAUSE = 0.2
 LONGEST_PAUSE = 8.0
 SINCE_SECONDS = 10.0
@@ -66,6 +68,7 @@
     parent: str = ""
     _failures: int = 0
     _bound: float = STALE_SECONDS
+    _avoided: dict[str, float] = attrs.Factory(dict)
 
     async def run(self) -> None:
         """Follow the best parent there is, for as long as the node runs."""
@@ -76,15 +79,22 @@
                 self._failures = 0
                 await anyio.sleep(FIRST_PAUSE)
                 continue
-            member = parents[self._failures % len(parents)]
-            await self._follow_once(member)
+            await self._follow_once(parents[0])
             await self._pause(len(parents))
 
     def _list_parents(self) -> list[Member]:
+        """Return the parents to try, those that failed lately at the end."""
         own = self.view.own
         ranked = self.view.list_live(own.data_centre)
         known = {member.node: member for member in ranked}
-        return [known[name] for name in choose_parents(list(known), own.node)]
+        names = choose_parents(list(known), own.node)
+        now = read_monotonic()
+        names.sort(key=lambda name: max(0.0, self._avoided.get(name, 0.0) - now))
+        return [known[name] for name in names]
+
+    def _fail(self, member: Member) -> None:
+        self._failures += 1
+        self._avoided[member.node] = read_monotonic() + AVOID_SECONDS
 
     async def _pause(self, parents: int) -> None:
         """Wait with full jitter, longer after each round of failed parents."""
@@ -102,11 +112,11 @@
             async with open_stub(self.settings, member.control) as stub:
                 await self._read_stream(stub, member)
         except grpc.RpcError as error:
-            self._failures += 1
+            self._fail(member)
             wrapped = wrap_rpc_error(error, "follow", member.control)
             log_event("parent-lost", parent=member.node, error=str(wrapped))
         except CactusError as error:
-            self._failures += 1
+            self._fail(member)
             self.counters.add("updates_refused")
             log_event("update-refused", parent=member.node, error=str(error))
             await self._heal(member)
@@ -121,16 +131,16 @@
             while self._is_best(member):
                 update = await self._read(call)
                 if update is None:
-                    self._failures += 1
+                    self._fail(member)
                     return
                 if update.retry_after_ms:
-                    self._failures += 1
+                    self._fail(member)
                     await anyio.sleep(update.retry_after_ms / 1000)
                     return
                 self._count(update)
                 receiver.take(update)
                 if not self._is_fresh():
-                    self._failures += 1
+                    self._fail(member)
                     return
         finally:
             done.set()
@@ -168,7 +178,7 @@
         parents = self._list_parents()
         if not parents:
             return False
-        return self._failures > 0 or parents[0].node == member.node
+        return parents[0].node == member.node
 
     async def _send_reports(self, done: anyio.Event) -> AsyncIterator[pb.Report]:
         while not done.is_set():
--- a/standins/target.py
+++ b/standins/target.py
@@ -44,17 +44,18 @@
     """How this target behaves; times in milliseconds.
 
     It is cold for `cold_seconds` after its start: each call then takes
-    `cold_ms`, and it falls over when more than `cold_bears` run at once.
+    `cold_ms`, and it falls over when more than `cold_bears` run at once. With
+    `overload_fails` calls fail whenever more than that run at once.
     """
 
     ms: float = 0.0
-    jitter_status: int = 200
     fail_ratio: float = 0.0
     fail_after: float = 0.0
     fail_path: str = ""
     cold_seconds: float = 0.0
     cold_ms: float = 0.0
     cold_bears: int = 0
+    overload_fails: int = 0
 
 
 class TargetApp:
@@ -128,6 +129,8 @@
     def _is_failing(self, path: str) -> bool:
         """Return whether this call fails: an even share of them, no chance."""
         how = self.how
+        if how.overload_fails and self.running > how.overload_fails:
+            return True
         if not how.fail_ratio or time.monotonic() - self.started < how.fail_after:
             return False
         if how.fail_path and not path.startswith(how.fail_path):
@@ -192,6 +195,7 @@
 @click.option("--cold-seconds", default=0.0)
 @click.option("--cold-ms", default=0.0)
 @click.option("--cold-bears", default=0)
+@click.option("--overload-fails", default=0)
 def main(listen, node, name, service, version, slots, **how) -> None:
     """Run one target."""
     address = parse_address("listen", listen)
--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,54 @@
+"""Following: a parent that fails is left for others, without flapping."""
+
+import attrs
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cactusshed.member.records import Member
+from cactusshed.member.view import View
+from cactusshed.observe.counters import Counters
+from cactusshed.settings import parse_settings
+from cactusshed.spread.current import Current
+from cactusshed.spread.follow import Follower
+from cactusshed.spread.reports import Reports
+
+from .test_settings import GOOD
+
+
+def make_follower(count):
+    """Return the follower of the node that ranks last of `count`."""
+    members = [
+        Member(f"n{i}", "r", "d", "127.0.0.1", 1 + i, 1 + i, 1) for i in range(count)
+    ]
+    scout = View(members[0], lambda _member: None)
+    for member in members:
+        scout.merge(member, 0.0)
+    last = scout.list_live("d")[-1]
+    view = View(last, lambda _member: None)
+    for member in members:
+        view.merge(member, 0.0)
+    settings = attrs.evolve(parse_settings(GOOD), node=last.node)
+    current = Current("r", "d", Counters())
+    reports = Reports(last.node, current, lambda: 0)
+    return Follower(settings, current, view, reports, Counters())
+
+
+def test_failed_parent_is_left_and_stays_left():
+    """After a failure the next parent is best, also once it has proved fresh."""
+    follower = make_follower(40)
+    first, second = follower._list_parents()[:2]
+    assert_that(follower._is_best(first), Equals(True))
+    follower._fail(first)
+    assert_that(follower._is_best(second), Equals(True))
+    follower.current.confirm(follower.current.clock())
+    assert_that(follower._is_fresh(), Equals(True))
+    assert_that(follower._is_best(second), Equals(True))
+
+
+def test_parents_that_all_failed_are_tried_again():
+    """When every parent has failed the one that failed first comes first."""
+    follower = make_follower(40)
+    parents = follower._list_parents()
+    for member in parents:
+        follower._fail(member)
+    assert_that(follower._list_parents(), Equals(parents))
