--- a/cactusshed/control.py
+++ b/cactusshed/control.py
@@ -1,7 +1,9 @@
 """The operators' tool `cactusshedctl`: commands by name."""
 
+import itertools
 import os
 import sys
+import time
 
 import click
 
@@ -212,6 +214,24 @@
     session.show(answer, render_histograms)
 
 
+@main.command()
+@click.option("--every", default=1.0, show_default=True, help="Seconds between views.")
+@click.option("--count", default=0, help="Views to print; 0 for no end.")
+@click.pass_obj
+def top(session: Session, every: float, count: int) -> None:
+    """Print status and call times again and again."""
+    for number in itertools.count(1):
+        if not session.as_json:
+            click.clear()
+        status = session.ask("GET", "/v1/status", Status)
+        session.show(status, render_status)
+        times = session.ask("GET", "/v1/histograms", list[HistogramView])
+        session.show(times, render_histograms)
+        if number == count:
+            return
+        time.sleep(every)
+
+
 for _command in COMMANDS:
     main.add_command(_command)
 
