--- a/bench/cost.py
+++ b/bench/cost.py
@@ -14,9 +14,13 @@
 import time
 from pathlib import Path
 
+import grpc
+
 from cactusshed.member.gossip import seal_packet
 from cactusshed.member.records import Member, Target, dump_member
+from cactusshed.spread.parent import FAN_OUT
 from cactusshed.wire import control_pb2 as pb
+from cactusshed.wire.control_pb2_grpc import ControlStub
 from standins.fleet import SECRET, Fleet, open_fleet, wait_for
 
 from .measure import print_table, read_cpu, read_private_bytes
@@ -26,6 +30,8 @@
 SERVICES = (10, 100, 420)
 ROUTES = 3
 IN_PACKET = 8
+CHANGES = 40
+QUESTIONS = 200
 SETTLE_SECONDS = 4.0
 WINDOW_SECONDS = 10.0
 MEBIBYTE = 1 << 20
@@ -73,12 +79,10 @@
     """Return private MiB, percent of a core and control bytes a second, idle."""
     time.sleep(SETTLE_SECONDS)
     pid = fleet.processes[name].popen.pid
-    cpu = read_cpu(pid)
-    sent = sum(fleet.read_metrics(name).get(counter, 0.0) for counter in BYTES)
+    cpu, sent = read_cpu(pid), sum_bytes(fleet, name)
     time.sleep(WINDOW_SECONDS)
     used = (read_cpu(pid) - cpu) / WINDOW_SECONDS
-    after = sum(fleet.read_metrics(name).get(counter, 0.0) for counter in BYTES)
-    rate = (after - sent) / WINDOW_SECONDS
+    rate = (sum_bytes(fleet, name) - sent) / WINDOW_SECONDS
     return read_private_bytes(pid) / MEBIBYTE, 100 * used, rate
 
 
@@ -104,11 +108,12 @@
     return all(members >= 0.98 * count for members in found)
 
 
-def measure_services() -> list[list]:
-    """Return a row for each number of services, on one daemon."""
+def measure_services() -> tuple[list[list], dict[str, float]]:
+    """Return a row for each number of services, and what a change costs then."""
     rows = []
     with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
         fleet.start_node("one", "dakar")
+        fleet.start_node("two", "dakar")
         fleet.wait_ready()
         for count in SERVICES:
             edits = make_services(count)
@@ -118,12 +123,89 @@
             took = time.monotonic() - started
             branches = count * (1 + ROUTES)
             rows.append([count, branches, *measure_node(fleet, "one"), took])
-    return rows
+        return rows, measure_changes(fleet)
+
+
+def measure_changes(fleet: Fleet) -> dict[str, float]:
+    """Return what one small change costs both nodes of a fleet with a large tree."""
+    pids = {name: fleet.processes[name].popen.pid for name in fleet.nodes}
+    before = {name: read_cpu(pid) for name, pid in pids.items()}
+    sent = sum_bytes(fleet, "two")
+    platform = fleet.count_platform()
+    started = time.monotonic()
+    base = 1
+    for index in range(CHANGES):
+        values = {"version": "v1", "timeout-ms": str(2001 + index)}
+        path = "/*/*/service-0"
+        answer = fleet.submit("one", f"c{index}", {path: values}, {path: base})
+        assert answer.status == 200, answer.body
+        base = answer.decode()["number"]
+    wait_for("carried", lambda: fleet.ask("two", "/v1/status")["number"] == base)
+    took = time.monotonic() - started
+    used = {name: read_cpu(pid) - before[name] for name, pid in pids.items()}
+    later = fleet.count_platform()
+    return {
+        "change_cpu_acceptor": used["one"] / CHANGES,
+        "change_cpu_follower": used["two"] / CHANGES,
+        "change_bytes": (sum_bytes(fleet, "two") - sent) / CHANGES,
+        "change_reads": (later["reads"] - platform["reads"] - 2 * took) / CHANGES,
+        "change_writes": (later["writes"] - platform["writes"]) / CHANGES,
+    }
+
+
+def sum_bytes(fleet: Fleet, name: str) -> float:
+    """Return the control bytes that a node has sent and received."""
+    metrics = fleet.read_metrics(name)
+    return sum(metrics.get(counter, 0.0) for counter in BYTES)
+
+
+def measure_parent() -> dict[str, float]:
+    """Return what a parent of 32 children and one of its children spend, idle."""
+    with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
+        for index in range(FAN_OUT + 1):
+            fleet.start_node(f"n{index}", "dakar")
+        fleet.wait_ready(seconds=120)
+        time.sleep(3 * SETTLE_SECONDS)
+        counter = "cactusshed_feed_messages_sent_total"
+        sent = {n: fleet.read_metrics(n).get(counter, 0.0) for n in fleet.nodes}
+        parent = max(sent, key=lambda name: sent[name])
+        leaf = min(sent, key=lambda name: sent[name])
+        found = {}
+        for name, role in ((parent, "parent"), (leaf, "leaf")):
+            memory, percent, rate = measure_node(fleet, name)
+            found[f"{role}_mib"] = memory
+            found[f"{role}_percent"] = percent
+            found[f"{role}_bytes"] = rate
+        return found
+
+
+def measure_evidence() -> dict[str, float]:
+    """Return the processor time of one answer with tallies, and its bytes."""
+    with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
+        spec = fleet.start_node("one", "dakar")
+        fleet.start_target("t1", "one", "service-0")
+        fleet.wait_ready()
+        fleet.submit("one", "services", make_services(1), {})
+        for route in range(ROUTES):
+            fleet.call("one", f"/service-0/route-{route}")
+        pid = fleet.processes["one"].popen.pid
+        before = read_cpu(pid)
+        size = 0
+        metadata = (("cactusshed-secret", SECRET),)
+        for _ in range(QUESTIONS):
+            with grpc.insecure_channel(f"127.0.0.1:{spec.control}") as channel:
+                request = pb.EvidenceRequest(service="service-0")
+                reply = ControlStub(channel).Evidence(request, metadata=metadata)
+                size = reply.ByteSize()
+        used = (read_cpu(pid) - before) / QUESTIONS
+    return {"evidence_cpu": used, "evidence_bytes": float(size)}
 
 
 def main() -> None:
     """Print both tables and, with a file name, keep the figures as JSON."""
-    members, services = measure_members(), measure_services()
+    members = measure_members()
+    services, changes = measure_services()
+    others = {**changes, **measure_parent(), **measure_evidence()}
     print_table(
         "Members known to an idle node",
         ["members", "private MiB", "% of a core", "control B/s"],
@@ -141,8 +223,9 @@
         ],
         services,
     )
+    print_table("Other slopes", ["slope", "value"], others.items())
     if len(sys.argv) > 1:
-        figures = {"members": members, "services": services}
+        figures = {"members": members, "services": services, **others}
         Path(sys.argv[1]).write_text(json.dumps(figures, indent=1) + "\n")
 
 
