--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,15 +12,15 @@
 
 import attrs
 
-from cactusshed.duty.moves import HOLDERS, LOOK_SECONDS
-from cactusshed.member.gossip import BRIDGES, FAN_OUT as GOSSIP_FAN_OUT
-from cactusshed.member.join import SEED_SLOTS
+from cactusshed.duty.moves import LOOK_SECONDS
+from cactusshed.member.join import SEED_SECONDS, SEED_SLOTS
+from cactusshed.member.rumors import SPREAD_FACTOR
+from cactusshed.platform.accept import SNAPSHOT_EVERY
+from cactusshed.platform.claim import MAX_GROUP
 from cactusshed.spread.parent import FAN_OUT, POLLERS
 
-SLOPES = Path(__file__).parent / "slopes.json"
+FOLDER = Path(__file__).parent
 DAY = 86_400.0
-MEBIBYTE = float(1 << 20)
-
 NODES = 13_000
 SERVICES = 420
 CALLS_PER_SECOND = 1_800_000.0
@@ -39,36 +39,19 @@
 BUDGET_ADDED_MS = 0.31
 PLATFORM_READS = 2_000.0
 PLATFORM_WRITES = 400.0
-"""Several hundred a second."""
-CLAIM_GROUP = 50
 BRANCHES_PER_SERVICE = 4
 MEMBER_BYTES = 110
 """One record of a member with a target on the wire."""
-RUMOR_FACTOR = 3
-HEAD_POLL_SECONDS = 1.0
-SEED_SECONDS = 10.0
-
-
-@attrs.frozen
-class Line:
-    """One line of the page; `None` where a figure does not apply."""
-
-    role: str
-    carries: str
-    state: str
-    messages: str
-    percent: float | None
-    mib: float | None
-    rate: float | None
-    mechanism: str
+NEWS_PER_RESTART = 3
+"""Leave, return, and the target's announcement."""
+FLEET_DOUBLINGS = 14
+STORM_READS = 5.2
+"""Platform reads of a node in a storm; docs/MEASURED.md."""
+ROLE_HEAD = ("role", "carries", "% of a core", "private MiB", "B/s", "by")
+PLATFORM_HEAD = ("user", "reads/s", "writes/s", "by")
 
 
-def load_slopes() -> dict:
-    """Return the measured slopes."""
-    return json.loads(SLOPES.read_text())
-
-
-def fit_slope(rows: list[list], x: int, y: int) -> tuple[float, float]:
+def fit_line(rows: list[list], x: int, y: int) -> tuple[float, float]:
     """Return intercept and slope of the least-squares line through two columns."""
     xs, ys = [row[x] for row in rows], [row[y] for row in rows]
     mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
@@ -78,273 +61,190 @@
 
 
 @attrs.frozen
-class Model:
-    """Slopes turned into what one node spends at the size to design for."""
-
-    slopes: dict
-
-    def get_memory(self) -> float:
-        """Return the private MiB of a node that knows everybody and the tree."""
-        base, per_member = fit_slope(self.slopes["members"], 0, 1)
-        _, per_branch = fit_slope(self.slopes["services"], 1, 2)
-        return base + per_member * NODES + per_branch * SERVICES * BRANCHES_PER_SERVICE
-
-    def get_parts(self) -> tuple[float, float, float]:
-        """Return the MiB of the process, of all members and of the whole tree."""
-        base, per_member = fit_slope(self.slopes["members"], 0, 1)
-        _, per_branch = fit_slope(self.slopes["services"], 1, 2)
-        branches = SERVICES * BRANCHES_PER_SERVICE
-        return base, per_member * NODES, per_branch * branches
+class Memory:
+    """Private MiB of the process, of all members, and of the whole tree."""
 
-    def get_change_percent(self) -> float:
-        """Return the percent of a core for applying all changes."""
-        per_second = CHANGES_PER_DAY / DAY
-        return 100 * self.slopes["change_cpu_follower"] * per_second
+    base: float
+    members: float
+    tree: float
 
-    def get_churn_rate(self) -> float:
-        """Return the bytes a second of news about members, at each node.
+    @property
+    def total(self) -> float:
+        """Return the sum."""
+        return self.base + self.members + self.tree
 
-        Each piece is sent by each node a few times the logarithm of the fleet.
-        """
-        events = 3 * (RESTARTS_PER_DAY + FAILURES_PER_DAY) / DAY
-        sends = RUMOR_FACTOR * 14
-        return events * sends * MEMBER_BYTES
 
-    def get_leaf_percent(self) -> float:
-        """Return the percent of a core of an idle node, and of applying changes."""
-        return self.slopes["leaf_percent"] + self.get_change_percent()
+def work_out_memory(slopes: dict) -> Memory:
+    """Return the memory of a node that knows all members and branches."""
+    base, per_member = fit_line(slopes["members"], 0, 1)
+    _, per_branch = fit_line(slopes["services"], 1, 2)
+    branches = SERVICES * BRANCHES_PER_SERVICE
+    return Memory(base, per_member * NODES, per_branch * branches)
 
-    def get_parent_percent(self) -> float:
-        """Return the same for a parent of as many children as the fan-out."""
-        return self.slopes["parent_percent"] + self.get_change_percent()
 
-    def get_change_rate(self) -> float:
-        """Return the bytes a second that changes cost one link of the feed."""
-        return self.slopes["change_bytes"] * CHANGES_PER_DAY / DAY
+def work_out_churn() -> float:
+    """Return the bytes a second of news about members at each node."""
+    events = NEWS_PER_RESTART * (RESTARTS_PER_DAY + FAILURES_PER_DAY) / DAY
+    return events * SPREAD_FACTOR * FLEET_DOUBLINGS * MEMBER_BYTES
 
-    def get_duty_percent(self) -> float:
-        """Return the percent of a core that the holder of one move spends."""
-        nodes = NODES / SERVICES
-        return 100 * self.slopes["evidence_cpu"] * nodes / LOOK_SECONDS
 
-    def get_duty_rate(self) -> float:
-        """Return the bytes a second that the holder of one move receives."""
-        return self.slopes["evidence_bytes"] * NODES / SERVICES / LOOK_SECONDS
-
-
-def list_lines(model: Model) -> Iterator[Line]:
-    """Yield the line of each role."""
-    slopes = model.slopes
-    churn, changes = model.get_churn_rate(), model.get_change_rate()
-    memory = model.get_memory()
-    yield Line(
-        "any node, as a leaf",
-        "version, view, one link up",
-        "whole tree, 13,000 members",
-        f"1 probe/{0.5:g} s, 1 report/s, 1 heartbeat/s",
-        model.get_leaf_percent(),
+def list_roles(slopes: dict) -> Iterator[tuple]:
+    """Yield role, what it carries, percent, MiB, bytes a second, and module."""
+    memory = work_out_memory(slopes).total
+    per_second = CHANGES_PER_DAY / DAY
+    apply = 100 * slopes["change_cpu_follower"] * per_second
+    changes = slopes["change_bytes"] * per_second
+    churn = work_out_churn()
+    leaf, parent = slopes["leaf_percent"] + apply, slopes["parent_percent"] + apply
+    more = max(0.0, slopes["parent_mib"] - slopes["leaf_mib"])
+    up = slopes["leaf_bytes"] + churn + changes
+    down = slopes["parent_bytes"] + churn + FAN_OUT * changes
+    nodes = NODES / SERVICES
+    asks = nodes / LOOK_SECONDS
+    duty = 100 * (slopes["evidence_cpu"] + slopes["question_cpu"]) * asks
+    yield (
+        "leaf",
+        "one link up, whole tree, all members",
+        leaf,
         memory,
-        slopes["leaf_bytes"] + churn + changes,
+        up,
         "spread/follow, member/gossip",
     )
-    yield Line(
+    yield (
         "relay in the feed",
-        f"up to {FAN_OUT} children",
-        "recent changes, 32 reports",
-        f"{FAN_OUT} heartbeats/s out, {FAN_OUT} reports/s in",
-        model.get_parent_percent(),
-        memory + slopes["parent_mib"] - slopes["leaf_mib"],
-        slopes["parent_bytes"] + churn + FAN_OUT * changes,
+        f"{FAN_OUT} children",
+        parent,
+        memory + more,
+        down,
         "spread/feed, spread/reports",
     )
-    yield Line(
+    yield (
         "lowest-rank poller",
-        f"{POLLERS} a data centre",
-        "as a relay",
-        f"1 head/s, {CENTRES - 1} far peers a round with news",
-        model.get_parent_percent() + 1.0 * slopes["leaf_percent"] / 2,
-        memory + slopes["parent_mib"] - slopes["leaf_mib"],
-        slopes["parent_bytes"] + 2 * churn + FAN_OUT * changes,
-        "spread/poll, member/gossip (bridges)",
+        f"as a relay, 1 head/s, {CENTRES - 1} far peers",
+        parent + slopes["poll_percent"],
+        memory + more,
+        down + churn,
+        "spread/poll, member/gossip",
     )
-    yield Line(
+    yield (
         "holder of one move's lease",
-        f"{NODES / SERVICES:.0f} nodes asked",
-        "evidence of 20 looks",
-        f"{NODES / SERVICES / LOOK_SECONDS:.0f} questions/s",
-        model.get_leaf_percent() + model.get_duty_percent(),
+        f"{asks:.0f} questions/s to {nodes:.0f} nodes",
+        leaf + duty,
         memory,
-        slopes["leaf_bytes"] + model.get_duty_rate(),
+        up + slopes["evidence_bytes"] * asks,
         "duty/moves, duty/evidence",
     )
+    yield (
+        "operators' node",
+        "one change and a survey of all data centres",
+        leaf + 100 * slopes["change_cpu_acceptor"] * per_second,
+        memory,
+        up,
+        "operate/editor, spread/survey",
+    )
 
 
-def list_platform(model: Model) -> Iterator[tuple[str, float, float, str]]:
-    """Yield what each user of the platform costs it: reads and writes a second."""
+def list_platform(slopes: dict) -> Iterator[tuple]:
+    """Yield each user of the table: reads and writes a second, and module."""
     per_second = CHANGES_PER_DAY / DAY
-    reads, writes = model.slopes["change_reads"], model.slopes["change_writes"]
-    yield (
-        "head polls",
-        CENTRES * POLLERS / HEAD_POLL_SECONDS,
-        0.0,
-        "spread/poll, three lowest ranks",
-    )
+    readers = CENTRES * POLLERS
+    keyed = CALLS_PER_SECOND * KEYED_SHARE
+    label = f"claims, if {KEYED_SHARE:.0%} of calls carry a key"
+    yield "head polls", float(readers), 0.0, f"spread/poll, {POLLERS} ranks"
     yield (
         "changes",
-        per_second * (reads + CENTRES * POLLERS * 2),
-        per_second * writes,
-        "platform/accept; pollers read each",
+        per_second * (slopes["change_reads"] + 2 * readers),
+        per_second * slopes["change_writes"],
+        "platform/accept, spread/poll",
     )
     yield (
         "seeds",
         2 * CENTRES * SEED_SLOTS / SEED_SECONDS,
         RESTARTS_PER_DAY / DAY,
-        "member/join, three slots a data centre",
+        "member/join",
     )
     yield (
         f"{MOVES_AT_ONCE} moves at once",
-        MOVES_AT_ONCE * 2 / LOOK_SECONDS,
         MOVES_AT_ONCE / LOOK_SECONDS,
-        f"platform/lease, {HOLDERS} candidates",
-    )
-    keyed = CALLS_PER_SECOND * KEYED_SHARE
-    yield (
-        f"claims, {KEYED_SHARE:.0%} of calls keyed, alone in their groups",
-        keyed,
-        2 * keyed,
-        "platform/claim",
-    )
-    yield (
-        f"the same in groups of {CLAIM_GROUP}",
-        keyed,
-        keyed / CLAIM_GROUP + keyed,
-        "platform/claim; outcomes are single writes",
+        MOVES_AT_ONCE / LOOK_SECONDS,
+        "platform/lease",
     )
+    yield label, keyed, keyed / MAX_GROUP + keyed, "platform/claim"
 
 
-def render_flag(value: float | None, budget: float) -> str:
-    """Return a figure, marked where it does not fit its budget."""
-    if value is None:
-        return "-"
-    return f"{value:.3g}" + ("" if value <= budget else " **over**")
-
-
-def render_page(model: Model) -> Iterator[str]:
-    """Yield the lines of the page."""
-    yield from _render_head()
-    yield from _render_roles(model)
-    yield from _render_platform(model)
-    yield from _render_calls(model)
-    yield from _render_verdict(model)
-
-
-def _render_head() -> Iterator[str]:
-    yield "# Capacity"
-    yield ""
-    yield "Printed by `python -m bench.capacity` from `bench/slopes.json`, which"
-    yield "`python -m bench.cost bench/slopes.json` measures on one machine. Nothing"
-    yield "on this page was run at its size: each figure is a slope times a size."
-    yield ""
-    yield f"Size: {NODES:,} targets, each with its node, {SERVICES} services,"
-    yield f"{CALLS_PER_SECOND:,.0f} calls a second up to {DEPTH} deep, {REGIONS} regions,"
-    yield f"{CENTRES} data centres, {CHANGES_PER_DAY:,.0f} changes a day. Budget of a node"
-    yield f"for control: {BUDGET_PERCENT} % of a core, {BUDGET_MIB:g} MB, 18 KB a second."
+def render_table(head: tuple, rows: Iterator[tuple], budgets: dict) -> str:
+    """Return a Markdown table; figures over the budget of their column are marked."""
+    lines = [f"| {' | '.join(head)} |", "|" + "---|" * len(head)]
+    for row in rows:
+        cells = [
+            _render_cell(value, budgets.get(name))
+            for name, value in zip(head, row, strict=True)
+        ]
+        lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines)
 
 
-def _render_roles(model: Model) -> Iterator[str]:
-    yield ""
-    yield "## Control, by role"
-    yield ""
-    yield "| role | carries | state | messages | % of a core | private MiB | B/s | by |"
-    yield "|---|---|---|---|---|---|---|---|"
-    for line in list_lines(model):
-        cells = (
-            line.role,
-            line.carries,
-            line.state,
-            line.messages,
-            render_flag(line.percent, BUDGET_PERCENT),
-            render_flag(line.mib, BUDGET_MIB),
-            render_flag(line.rate, BUDGET_BYTES),
-            line.mechanism,
-        )
-        yield f"| {' | '.join(cells)} |"
+def _render_cell(value, budget: float | None) -> str:
+    if isinstance(value, str):
+        return value
+    mark = " **over**" if budget is not None and value > budget else ""
+    return (f"{value:,.0f}" if value >= 100 else f"{value:.2g}") + mark
 
 
-def _render_platform(model: Model) -> Iterator[str]:
-    yield ""
-    yield "## Platform: table service"
-    yield ""
-    yield f"It gives {PLATFORM_READS:,.0f} reads and {PLATFORM_WRITES:g} writes a second."
-    yield ""
-    yield "| user | reads/s | writes/s | by |"
-    yield "|---|---|---|---|"
-    for name, reads, writes, mechanism in list_platform(model):
-        read = render_flag(reads, PLATFORM_READS)
-        write = render_flag(writes, PLATFORM_WRITES)
-        yield f"| {name} | {read} | {write} | {mechanism} |"
-    yield ""
-    yield "Object store: one snapshot every 200 changes, "
-    yield f"{CHANGES_PER_DAY / 200:.0f} writes a day; reads by nodes that restart alone."
-
-
-def _render_calls(model: Model) -> Iterator[str]:
+def render_page(slopes: dict) -> str:
+    """Return the page."""
+    memory = work_out_memory(slopes)
     per_node = CALLS_PER_SECOND / NODES
-    first, second = model.slopes["call_cpu_first"], model.slopes["call_cpu_target"]
-    added = model.slopes["added_p99_peer_ms"]
-    local = model.slopes["added_p99_local_ms"]
-    yield ""
-    yield "## Calls"
-    yield ""
-    yield f"- {per_node:.0f} calls a second at each node, as first node and as target's."
-    yield f"- Processor: {first * 1e6:.0f} us at the first node, {second * 1e6:.0f} us at the"
-    yield f"  target's: {100 * per_node * (first + second):.0f} % of a core at each node."
-    yield f"- Added for 99 in 100, through a peer: {added:.2f} ms; through a local target:"
-    yield f"  {local:.2f} ms. Budget {BUDGET_ADDED_MS} ms: **over** for both."
-    yield f"- A call {DEPTH} deep pays this {DEPTH} times."
-
-
-def _render_verdict(model: Model) -> Iterator[str]:
-    base, members, tree = model.get_parts()
-    yield ""
-    yield "## What does not fit, and what would make it fit"
-    yield ""
-    yield f"- **Memory.** {base:.1f} MiB is the process with its libraries, {members:.1f} MiB"
-    yield f"  are {NODES:,} members, {tree:.1f} MiB the whole tree. Subscription by needed"
-    yield "  services would leave a node the members and branches of a few services."
-    yield "  It is not built."
-    yield "- **Time added.** The HTTP work of both legs in Python. A local target needs"
-    yield "  one leg only; a leg in a compiled proxy is ruled out."
-    yield "- **Claims.** Each keyed submission costs a share of a grouped insert and one"
-    yield f"  write of its outcome. The table's {PLATFORM_WRITES:g} writes end at about"
-    yield f"  {PLATFORM_WRITES / (1 + 1 / CLAIM_GROUP):.0f} keyed submissions a second in the"
-    yield "  whole fleet, other writers apart; grouped outcomes would bring it to"
-    yield f"  {PLATFORM_WRITES * CLAIM_GROUP / 2:,.0f}. Past that nothing here carries it:"
-    yield "  a replicated store of our own is ruled out."
-    yield "- **Changes.** Each node validates and compiles the whole tree for each change:"
-    yield f"  {model.slopes['change_cpu_follower'] * 1000:.0f} ms at this size, during which"
-    yield "  its calls wait. Work on the touched branches alone would end that."
-    yield ""
-    yield "## Failures"
-    yield ""
+    first, second = slopes["call_cpu_first"], slopes["call_cpu_target"]
     per_centre = NODES // CENTRES
-    yield f"- {RESTARTS_PER_DAY:,.0f} restarts a day: each joins through one peer and takes"
-    yield "  the tree from its parent; at most 4 snapshots are sent at once by a relay."
-    yield f"- A data centre of {per_centre:,} nodes restarts: {per_centre:,} scans of the"
-    yield "  seeds if no seed is in the settings, spread by jitter over the joins; heads"
-    yield f"  are read by {POLLERS} nodes. Relays: {per_centre // FAN_OUT} of them."
-    yield f"- A lost data centre: {per_centre:,} members are found unreachable by failed"
-    yield "  calls; their records stay, since only neighbours declare a death."
-    yield "- Regions cut for an hour: each goes on with the version it has; the side"
-    yield "  that sees the platform goes forward. Not run."
-    yield f"- Gossip: {GOSSIP_FAN_OUT} peers a round while there is news, and {BRIDGES}"
-    yield "  bridges a data centre."
+    role_budgets = {
+        "% of a core": BUDGET_PERCENT,
+        "private MiB": BUDGET_MIB,
+        "B/s": BUDGET_BYTES,
+    }
+    table_budgets = {"reads/s": PLATFORM_READS, "writes/s": PLATFORM_WRITES}
+    figures = {
+        "nodes": NODES,
+        "services": SERVICES,
+        "calls": CALLS_PER_SECOND,
+        "depth": DEPTH,
+        "regions": REGIONS,
+        "centres": CENTRES,
+        "changes": CHANGES_PER_DAY,
+        "restarts": RESTARTS_PER_DAY,
+        "small": FAN_OUT + 1,
+        "budget_percent": BUDGET_PERCENT,
+        "budget_mib": BUDGET_MIB,
+        "budget_added": BUDGET_ADDED_MS,
+        "platform_reads": PLATFORM_READS,
+        "platform_writes": PLATFORM_WRITES,
+        "roles": render_table(ROLE_HEAD, list_roles(slopes), role_budgets),
+        "platform": render_table(PLATFORM_HEAD, list_platform(slopes), table_budgets),
+        "snapshots": CHANGES_PER_DAY / SNAPSHOT_EVERY,
+        "per_node": per_node,
+        "first": 1e6 * first,
+        "second": 1e6 * second,
+        "call_percent": 100 * per_node * (first + second),
+        "added_peer": slopes["added_p99_peer_ms"],
+        "added_local": slopes["added_p99_local_ms"],
+        "base": memory.base,
+        "members": memory.members,
+        "tree": memory.tree,
+        "keyed_now": PLATFORM_WRITES / (1 + 1 / MAX_GROUP),
+        "keyed_grouped": PLATFORM_WRITES * MAX_GROUP / 2,
+        "apply_ms": 1000 * slopes["change_cpu_follower"],
+        "per_centre": per_centre,
+        "storm": STORM_READS,
+        "storm_reads": STORM_READS * per_centre,
+        "storm_seconds": STORM_READS * per_centre / PLATFORM_READS,
+    }
+    return (FOLDER / "capacity.md").read_text().format(**figures)
 
 
 def main() -> None:
     """Print the page."""
-    for line in render_page(Model(load_slopes())):
-        print(line.rstrip())
+    slopes = json.loads((FOLDER / "slopes.json").read_text())
+    print(render_page(slopes), end="")
 
 
 if __name__ == "__main__":
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -23,6 +23,7 @@
 from cactusshed.wire.control_pb2_grpc import ControlStub
 from standins.fleet import SECRET, Fleet, open_fleet, wait_for
 
+from . import calls
 from .measure import print_table, read_cpu, read_private_bytes
 from .spread import BYTES
 
@@ -189,7 +190,7 @@
         for route in range(ROUTES):
             fleet.call("one", f"/service-0/route-{route}")
         pid = fleet.processes["one"].popen.pid
-        before = read_cpu(pid)
+        before, own = read_cpu(pid), time.process_time()
         size = 0
         metadata = (("cactusshed-secret", SECRET),)
         for _ in range(QUESTIONS):
@@ -198,14 +199,36 @@
                 reply = ControlStub(channel).Evidence(request, metadata=metadata)
                 size = reply.ByteSize()
         used = (read_cpu(pid) - before) / QUESTIONS
-    return {"evidence_cpu": used, "evidence_bytes": float(size)}
+        asking = (time.process_time() - own) / QUESTIONS
+    return {
+        "evidence_cpu": used,
+        "question_cpu": asking,
+        "evidence_bytes": float(size),
+    }
+
+
+def measure_calls() -> dict[str, float]:
+    """Return what a call through a peer costs both nodes, and the time added."""
+    with tempfile.TemporaryDirectory() as folder, calls.start_fleet(folder) as fleet:
+        calls.prepare(fleet)
+        times = {row[0]: row for row in calls.measure_times(fleet, 2_000)}
+        loads = {row[0]: row for row in calls.measure_load(fleet)}
+    _, _, first, second, _ = loads["through a peer"]
+    return {
+        "call_cpu_first": first / 1e6,
+        "call_cpu_target": second / 1e6,
+        "added_p99_peer_ms": times["through a peer"][-1],
+        "added_p99_local_ms": times["local target"][-1],
+    }
 
 
 def main() -> None:
     """Print both tables and, with a file name, keep the figures as JSON."""
     members = measure_members()
     services, changes = measure_services()
-    others = {**changes, **measure_parent(), **measure_evidence()}
+    parts = (changes, measure_parent(), measure_evidence(), measure_calls())
+    others = {name: value for part in parts for name, value in part.items()}
+    others["poll_percent"] = members[0][2] - others["leaf_percent"]
     print_table(
         "Members known to an idle node",
         ["members", "private MiB", "% of a core", "control B/s"],
