--- a/cactusshed/member/gossip.py
+++ b/cactusshed/member/gossip.py
@@ -98,7 +98,7 @@
 
     async def _run_round(self) -> None:
         now = read_monotonic()
-        self._bury_suspects(now)
+        self._declare_dead(now)
         self.view.forget_gone(now)
         if len(self.rumors):
             for member in self._choose_peers(FAN_OUT):
@@ -166,7 +166,7 @@
         self.counters.add("members_suspected")
         self.view.mark(subject.node, State.SUSPECT, read_monotonic())
 
-    def _bury_suspects(self, now: float) -> None:
+    def _declare_dead(self, now: float) -> None:
         suspects = {
             member.node
             for member in self._list_neighbours()
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -32,7 +32,7 @@
 from .serve.claimant import Claimant
 from .serve.crashes import Crashes
 from .serve.dispatch import Dispatcher
-from .serve.gatekeeper import Gatekeeper
+from .serve.gates import Gates
 from .serve.listener import Listener
 from .serve.peer import PeerCaller
 from .serve.peers import PeerApp
@@ -125,7 +125,7 @@
 
     def _make_call_path(self) -> None:
         settings = self.settings
-        self._gatekeeper = Gatekeeper(
+        self._gates = Gates(
             self._targets,
             self.current,
             self.counters,
@@ -142,7 +142,7 @@
         dispatcher = Dispatcher(
             self.view,
             self.current,
-            self._gatekeeper,
+            self._gates,
             self._peers,
             self.counters,
             self._crashes,
@@ -159,7 +159,7 @@
             self._watcher,
         )
         self._peer_app = PeerApp(
-            self._gatekeeper,
+            self._gates,
             self.counters,
             settings.secret,
             self.view.own.incarnation,
@@ -175,12 +175,12 @@
         )
         withdrawer = Withdrawer(self.current, self.view, collector, editor)
         reporter = Reporter(
-            self.current, self.view, self._follower, self._surveyor, self._gatekeeper
+            self.current, self.view, self._follower, self._surveyor, self._gates
         )
         self._operator_app = OperatorApp(
             self.current,
             self._targets,
-            self._gatekeeper,
+            self._gates,
             editor,
             withdrawer,
             reporter,
@@ -196,7 +196,7 @@
         self.view.update_own(targets=targets)
 
     def _count_running(self, service: str = "") -> int:
-        return self._gatekeeper.count_running(service)
+        return self._gates.count_running(service)
 
     def _list_gauges(self) -> list[tuple[str, float]]:
         now = read_monotonic()
@@ -238,7 +238,7 @@
     def _list_first_tasks(self) -> list[tuple[str, Task]]:
         return [
             ("gossip", lambda: self._gossip.run(self.settings.control)),
-            ("upkeep", self._gatekeeper.run_upkeep),
+            ("upkeep", self._gates.run_upkeep),
             ("claims", self._claims.run),
             ("links", self._retire_links),
             ("watch", self._watcher.run),
@@ -304,7 +304,7 @@
     async def _drain(self, listeners: list[Listener]) -> None:
         """Announce the leave, let calls end, then close the listeners."""
         self.leaving = True
-        self._gatekeeper.leaving = True
+        self._gates.leaving = True
         self.view.update_own(state=State.LEFT, targets=())
         log_event("leaving", running=self._count_busy())
         self._gossip.tell_now()
--- a/cactusshed/operate/app.py
+++ b/cactusshed/operate/app.py
@@ -23,7 +23,7 @@
     send_json,
     send_text,
 )
-from ..serve.gatekeeper import Gatekeeper
+from ..serve.gates import Gates
 from ..serve.headers import find_header
 from ..spread.current import Current
 from .editor import Editor
@@ -54,7 +54,7 @@
 
     current: Current
     targets: Targets
-    gatekeeper: Gatekeeper
+    gates: Gates
     editor: Editor
     withdrawer: Withdrawer
     reporter: Reporter
@@ -126,7 +126,7 @@
         )
     said = parse_announcement(request.body, request.source)
     target = app.targets.take(said, read_monotonic())
-    app.gatekeeper.take_announcement(target)
+    app.gates.take_announcement(target)
     await send_json(send, {"target": target.name})
 
 
--- a/cactusshed/operate/report.py
+++ b/cactusshed/operate/report.py
@@ -4,7 +4,7 @@
 
 from ..clock import read_monotonic
 from ..member.view import View
-from ..serve.gatekeeper import Gatekeeper
+from ..serve.gates import Gates
 from ..spread.current import Current
 from ..spread.follow import Follower
 from ..spread.survey import Centre, Surveyor
@@ -23,7 +23,7 @@
     view: View
     follower: Follower
     surveyor: Surveyor
-    gatekeeper: Gatekeeper
+    gates: Gates
 
     async def make_status(self) -> Status:
         """Return the status; it asks the lowest rank of each data centre."""
@@ -71,7 +71,7 @@
                 gate.warmup.ceiling,
                 gate.highest,
             )
-            for name, gate in self.gatekeeper.list_gates()
+            for name, gate in self.gates.list_gates()
         ]
 
     def _list_moves(self):
--- a/cactusshed/policy/shun.py
+++ b/cactusshed/policy/avoid.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-__all__ = ["Shunned"]
+__all__ = ["Avoided"]
 
 FIRST_SECONDS = 0.5
 LONGEST_SECONDS = 15.0
 
 
 @attrs.define
-class Shunned:
+class Avoided:
     """Until when each node is avoided, and for how long the next time."""
 
     _until: dict[str, float] = attrs.Factory(dict)
@@ -29,6 +29,6 @@
             del self._until[node]
             del self._length[node]
 
-    def is_shunned(self, node: str, now: float) -> bool:
+    def is_avoided(self, node: str, now: float) -> bool:
         """Return whether `node` is avoided now."""
         return bool(self._until) and now < self._until.get(node, 0.0)
--- a/cactusshed/policy/pick.py
+++ b/cactusshed/policy/pick.py
@@ -10,7 +10,7 @@
 __all__ = ["order_endpoints", "select_open", "select_version", "split_tiers"]
 
 FULL_TIER = 3
-SHUNNED_TIER = 4
+AVOIDED_TIER = 4
 
 
 def select_open(endpoints: Iterable[Endpoint], table: Table) -> Iterator[Endpoint]:
@@ -36,23 +36,23 @@
     endpoints: Iterable[Endpoint],
     own: Member,
     is_full: Callable[[Endpoint], bool],
-    is_shunned: Callable[[Endpoint], bool],
+    is_avoided: Callable[[Endpoint], bool],
 ) -> list[list[Endpoint]]:
     """Return the endpoints by preference: same data centre, same region, others.
 
     Those known to be full come after all of these, suspects and those that
     failed lately come last.
     """
-    tiers: list[list[Endpoint]] = [[] for _ in range(SHUNNED_TIER + 1)]
+    tiers: list[list[Endpoint]] = [[] for _ in range(AVOIDED_TIER + 1)]
     for endpoint in endpoints:
-        tiers[_choose_tier(endpoint, own, is_full, is_shunned)].append(endpoint)
+        tiers[_choose_tier(endpoint, own, is_full, is_avoided)].append(endpoint)
     return [tier for tier in tiers if tier]
 
 
-def _choose_tier(endpoint, own, is_full, is_shunned) -> int:
+def _choose_tier(endpoint, own, is_full, is_avoided) -> int:
     member = endpoint.member
-    if member.state == State.SUSPECT or is_shunned(endpoint):
-        return SHUNNED_TIER
+    if member.state == State.SUSPECT or is_avoided(endpoint):
+        return AVOIDED_TIER
     if is_full(endpoint):
         return FULL_TIER
     if member.data_centre == own.data_centre:
--- a/cactusshed/serve/dispatch.py
+++ b/cactusshed/serve/dispatch.py
@@ -9,15 +9,15 @@
 from ..member.view import Endpoint, View
 from ..observe.counters import Counters
 from ..observe.events import log_event
+from ..policy.avoid import Avoided
 from ..policy.ban import Bans
 from ..policy.pick import order_endpoints, select_open, select_version, split_tiers
 from ..policy.retry import RetryBudget
 from ..policy.share import choose_version, list_versions
-from ..policy.shun import Shunned
 from ..spread.current import Current
 from ..tree.table import Table
 from .crashes import Crashes
-from .gatekeeper import FAILED_STATUS, Gatekeeper
+from .gates import FAILED_STATUS, Gates
 from .messages import SETTLED, TARGET_DIED, Answered, Call, NotRun, Outcome, Unknown
 from .peer import PeerCaller
 
@@ -46,13 +46,13 @@
 
     view: View
     current: Current
-    gatekeeper: Gatekeeper
+    gates: Gates
     peers: PeerCaller
     counters: Counters
     crashes: Crashes
     bans: Bans
     rng: random.Random = attrs.Factory(random.Random)
-    shunned: Shunned = attrs.Factory(Shunned)
+    avoided: Avoided = attrs.Factory(Avoided)
     _budgets: dict[str, RetryBudget] = attrs.Factory(dict)
     _in_flight: dict[str, int] = attrs.Factory(dict)
 
@@ -143,8 +143,8 @@
     def _order(self, endpoints: list[Endpoint]) -> Iterator[Endpoint]:
         now = read_monotonic()
 
-        def is_shunned(endpoint: Endpoint) -> bool:
-            return self.shunned.is_shunned(endpoint.member.node, now)
+        def is_avoided(endpoint: Endpoint) -> bool:
+            return self.avoided.is_avoided(endpoint.member.node, now)
 
         def get_load(endpoint: Endpoint) -> float:
             return self._get_load(endpoint, now)
@@ -152,13 +152,13 @@
         def is_full(endpoint: Endpoint) -> bool:
             return self._is_full(endpoint, now)
 
-        tiers = split_tiers(endpoints, self.view.own, is_full, is_shunned)
+        tiers = split_tiers(endpoints, self.view.own, is_full, is_avoided)
         return order_endpoints(tiers, get_load, self.rng)
 
     def _is_full(self, endpoint: Endpoint, now: float) -> bool:
         name = endpoint.target.name
         if endpoint.member.node == self.view.own.node:
-            busy, limit = self.gatekeeper.get_load(name)
+            busy, limit = self.gates.get_load(name)
             return busy >= limit
         report = self.peers.loads.get(name)
         if report is None or now - report.at > FULL_SECONDS:
@@ -169,7 +169,7 @@
         """Return how full a target seems: own calls, and its last report if new."""
         name = endpoint.target.name
         if endpoint.member.node == self.view.own.node:
-            busy, limit = self.gatekeeper.get_load(name)
+            busy, limit = self.gates.get_load(name)
             return busy / limit
         own = self._in_flight.get(name, 0)
         report = self.peers.loads.get(name)
@@ -187,7 +187,7 @@
         self._in_flight[name] = self._in_flight.get(name, 0) + 1
         try:
             if endpoint.member.node == self.view.own.node:
-                outcome = await self.gatekeeper.run(attempted, name)
+                outcome = await self.gates.run(attempted, name)
             else:
                 outcome = await self.peers.call(attempted, endpoint)
         finally:
@@ -203,9 +203,9 @@
         if call.alone and isinstance(outcome, Answered):
             self.crashes.quarantine.acquit(call.compute_fingerprint())
         if isinstance(outcome, NotRun) and outcome.code in _UNREACHABLE:
-            self.shunned.note_failure(node, read_monotonic())
+            self.avoided.note_failure(node, read_monotonic())
         elif isinstance(outcome, Answered):
-            self.shunned.note_success(node)
+            self.avoided.note_success(node)
 
     def _note_version(self, call: Call, endpoint: Endpoint, outcome: Outcome) -> None:
         """Show the outcome to the bans while a move is going on."""
--- a/cactusshed/serve/peers.py
+++ b/cactusshed/serve/peers.py
@@ -12,7 +12,7 @@
 from ..tree.keys import CLASSES
 from . import headers as names
 from .asgi import Disconnected, Receive, Send, read_body, send_error, send_outcome
-from .gatekeeper import Gatekeeper
+from .gates import Gates
 from .headers import find_header, keep_end_to_end, read_count, strip_own
 from .messages import SETTLED, Call, Headers, NotRun, Outcome, Unknown
 from .watch import Watcher
@@ -27,7 +27,7 @@
 class PeerApp:
     """The ASGI application for other nodes."""
 
-    gatekeeper: Gatekeeper
+    gates: Gates
     counters: Counters
     secret: str
     incarnation: int
@@ -64,7 +64,7 @@
         if outcome is None:
             self.counters.add("peers_gone")
             return
-        busy, limit = self.gatekeeper.get_load(target)
+        busy, limit = self.gates.get_load(target)
         extra = [
             (names.CALL, call.call_id.encode()),
             (names.LOAD, f"{busy}/{limit}".encode()),
@@ -88,17 +88,17 @@
             return await self._settle(call)
         self.counters.add("peer_calls")
         if not call.idempotent:
-            return await self.gatekeeper.run(call, target)
+            return await self.gates.run(call, target)
         # An idempotent call is cancelled when the first node goes away.
-        return await self.watcher.guard(receive, self.gatekeeper.run, call, target)
+        return await self.watcher.guard(receive, self.gates.run, call, target)
 
     async def _settle(self, call: Call) -> Outcome:
         """Fence a call that was not run, or wait for one that is running."""
-        ledger = self.gatekeeper.ledger
+        ledger = self.gates.ledger
         entry = ledger.settle(call.call_id, read_monotonic())
         if entry.standing == Standing.RUNNING and not call.idempotent:
             with anyio.move_on_after(max(0.0, call.deadline - read_monotonic())):
-                await self.gatekeeper.wait_ended(call.call_id)
+                await self.gates.wait_ended(call.call_id)
             entry = ledger.settle(call.call_id, read_monotonic())
         return _read_entry(entry)
 
--- a/tests/test_calls_oracle.py
+++ b/tests/test_calls_oracle.py
@@ -28,7 +28,7 @@
 from cactusshed.serve.claimant import Claimant
 from cactusshed.serve.crashes import Crashes
 from cactusshed.serve.dispatch import Dispatcher
-from cactusshed.serve.gatekeeper import Gatekeeper
+from cactusshed.serve.gates import Gates
 from cactusshed.serve.links import AnswerMissing, NotSent
 from cactusshed.serve.messages import Answered, Call, NotRun, Reply
 from cactusshed.serve.peer import PeerCaller
@@ -70,7 +70,7 @@
         member = make_member(f"n{index}", index + 1, incarnation, f"t{index}")
         self.view.merge(member, 0.0)
         targets = Targets(1e9, lambda _targets: None)
-        gatekeeper = Gatekeeper(
+        gates = Gates(
             targets,
             self.current,
             self.counters,
@@ -84,8 +84,8 @@
             f"t{index}", "s", "v1", Address("127.0.0.1", 1), 5, "i", "ready", 0, 0.0
         )
         targets._by_name[local.name] = local
-        gatekeeper.take_announcement(local)
-        app = PeerApp(gatekeeper, self.counters, "", incarnation, 1 << 20, Watcher())
+        gates.take_announcement(local)
+        app = PeerApp(gates, self.counters, "", incarnation, 1 << 20, Watcher())
         self.nodes[index + 1] = (app, incarnation)
 
     def make_first_node(self):
@@ -95,7 +95,7 @@
             self.counters,
             make_links=lambda address, *_arguments: HopLinks(self, address),
         )
-        gatekeeper = Gatekeeper(
+        gates = Gates(
             Targets(1.0, lambda _targets: None),
             self.current,
             self.counters,
@@ -107,7 +107,7 @@
         dispatcher = Dispatcher(
             self.view,
             self.current,
-            gatekeeper,
+            gates,
             peers,
             self.counters,
             Crashes(Quarantine(), Rumors(lambda: 1), self.counters),
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -196,25 +196,25 @@
 
 def test_killer_is_refused_and_innocent_acquitted():
     """A request that kills alone is refused; one that runs alone well is free."""
-    jail = Quarantine()
+    quarantine = Quarantine()
     for name in (b"killer", b"innocent"):
-        jail.add_strike(name, b"crash-1", 0.0, alone=False)
-    assert_that(jail.judge(b"innocent", 1.0).alone, Equals(True))
-    jail.acquit(b"innocent")
-    assert_that(jail.judge(b"innocent", 1.0).alone, Equals(False))
-    jail.add_strike(b"innocent", b"crash-1", 1.0, alone=False)
-    assert_that(jail.judge(b"innocent", 1.0).alone, Equals(False))
-    jail.add_strike(b"killer", b"crash-2", 1.0, alone=True)
-    assert_that(jail.judge(b"killer", 2.0).refuse, Equals(True))
-    assert_that(jail.judge(b"killer", 400.0).refuse, Equals(False))
+        quarantine.add_strike(name, b"crash-1", 0.0, alone=False)
+    assert_that(quarantine.judge(b"innocent", 1.0).alone, Equals(True))
+    quarantine.acquit(b"innocent")
+    assert_that(quarantine.judge(b"innocent", 1.0).alone, Equals(False))
+    quarantine.add_strike(b"innocent", b"crash-1", 1.0, alone=False)
+    assert_that(quarantine.judge(b"innocent", 1.0).alone, Equals(False))
+    quarantine.add_strike(b"killer", b"crash-2", 1.0, alone=True)
+    assert_that(quarantine.judge(b"killer", 2.0).refuse, Equals(True))
+    assert_that(quarantine.judge(b"killer", 400.0).refuse, Equals(False))
 
 
 def test_two_shared_crashes_refuse_nobody():
     """A request that was twice near a crash, never alone, is not refused."""
-    jail = Quarantine()
-    jail.add_strike(b"innocent", b"crash-1", 0.0, alone=False)
-    jail.add_strike(b"innocent", b"crash-2", 0.0, alone=False)
-    assert_that(jail.judge(b"innocent", 1.0).refuse, Equals(False))
+    quarantine = Quarantine()
+    quarantine.add_strike(b"innocent", b"crash-1", 0.0, alone=False)
+    quarantine.add_strike(b"innocent", b"crash-2", 0.0, alone=False)
+    assert_that(quarantine.judge(b"innocent", 1.0).refuse, Equals(False))
 
 
 def run_warm(warmup, seconds, latency=0.01, now=0.0):
