--- a/bench/calls.py
+++ b/bench/calls.py
@@ -13,7 +13,8 @@
 from cactusshed.options import parse_address
 from cactusshed.serve.connection import exchange, make_request, open_connection
 from cactusshed.tree.edit import parse_tree_file
-from standins.fleet import Fleet, open_fleet, wait_for
+from standins.fleet import Fleet, open_fleet
+from standins.process import wait_for
 
 from .measure import print_table, read_cpu, take_percentile
 
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -21,7 +21,8 @@
 from cactusshed.spread.parent import FAN_OUT
 from cactusshed.wire import control_pb2 as pb
 from cactusshed.wire.control_pb2_grpc import ControlStub
-from standins.fleet import SECRET, Fleet, open_fleet, wait_for
+from standins.fleet import SECRET, Fleet, open_fleet
+from standins.process import wait_for
 
 from . import calls
 from .measure import print_table, read_cpu, read_private_bytes
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -17,7 +17,8 @@
 
 from cactusshed.tree.edit import parse_tree_file
 from standins.caller import Load, Result, Shot
-from standins.fleet import Fleet, open_fleet, wait_for
+from standins.fleet import Fleet, open_fleet
+from standins.process import wait_for
 
 from .measure import print_table, take_percentile
 
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -14,8 +14,9 @@
 import anyio
 
 from cactusshed.tree.edit import parse_tree_file
-from standins.fleet import Fleet, open_fleet, wait_for
+from standins.fleet import Fleet, open_fleet
 from standins.plain import PlainNode, run_plain_nodes
+from standins.process import wait_for
 
 from .measure import print_table, take_percentile
 
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -1,13 +1,13 @@
 """One node: its parts, wired together, and their start and stop."""
 
 import gc
-import ssl
 from collections.abc import Awaitable, Callable
 
 import anyio
 import grpc
 
 from .clock import read_monotonic, read_wall
+from .drain import stop_listeners, wait_idle
 from .duty.evidence import Collector
 from .duty.moves import MoveDuty
 from .duty.withdraw import Withdrawer
@@ -46,7 +46,12 @@
 from .spread.servicer import Servicer
 from .spread.survey import Surveyor
 from .supervise import supervise
-from .wire.channel import SERVER_OPTIONS, PeerGuard, make_server_credentials
+from .wire.channel import (
+    SERVER_OPTIONS,
+    PeerGuard,
+    make_client_context,
+    make_server_credentials,
+)
 from .wire.control_pb2_grpc import add_ControlServicer_to_server
 
 __all__ = ["Node"]
@@ -54,8 +59,6 @@
 Task = Callable[[], Awaitable[None]]
 
 RETIRE_SECONDS = 1.0
-DRAIN_POLL_SECONDS = 0.02
-STOP_SECONDS = 2.0
 
 
 def _make_member(settings: Settings) -> Member:
@@ -70,15 +73,6 @@
     )
 
 
-def _make_context(settings: Settings) -> ssl.SSLContext | None:
-    """Return the TLS context for calls to peers, if keys are set."""
-    if not settings.tls_key:
-        return None
-    context = ssl.create_default_context(cafile=settings.tls_ca)
-    context.load_cert_chain(settings.tls_cert, settings.tls_key)
-    return context
-
-
 class Node:
     """The parts of one node."""
 
@@ -135,7 +129,7 @@
             settings.node,
         )
         self._watcher = Watcher()
-        self._peers = PeerCaller(settings, self.counters, _make_context(settings))
+        self._peers = PeerCaller(settings, self.counters, make_client_context(settings))
         self._claims = Claims(
             self._port, settings.node, settings.claim_rate, self.counters
         )
@@ -310,18 +304,8 @@
         self._gossip.tell_now()
         # Callers learn by `connection: close` to go elsewhere before the end.
         await anyio.sleep(self.settings.drain_grace)
-        with anyio.move_on_after(self.settings.drain_limit):
-            while self._count_busy():
-                await anyio.sleep(DRAIN_POLL_SECONDS)
-        left = self._count_busy()
-        if left:
-            self.counters.add("calls_cut", left)
-            log_event("drain-limit", left=left)
-        for listener in listeners:
-            listener.stop()
-        with anyio.move_on_after(STOP_SECONDS):
-            for listener in listeners:
-                await listener.ended.wait()
+        await wait_idle(self._count_busy, self.settings.drain_limit, self.counters)
+        await stop_listeners(listeners)
 
     def _count_busy(self) -> int:
         return self._caller_app.running + self._peer_app.running
--- a/cactusshed/wire/channel.py
+++ b/cactusshed/wire/channel.py
@@ -1,6 +1,7 @@
 """Channels to the control port of other nodes, and proof of who calls."""
 
 import hmac
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -14,6 +15,7 @@
 __all__ = [
     "PeerGuard",
     "check_metadata",
+    "make_client_context",
     "make_metadata",
     "make_server_credentials",
     "open_stub",
@@ -59,6 +61,15 @@
     )
 
 
+def make_client_context(settings: Settings) -> ssl.SSLContext | None:
+    """Return the TLS context for calls to other nodes, if keys are set."""
+    if not settings.tls_key:
+        return None
+    context = ssl.create_default_context(cafile=settings.tls_ca)
+    context.load_cert_chain(settings.tls_cert, settings.tls_key)
+    return context
+
+
 def make_metadata(settings: Settings) -> tuple[tuple[str, str], ...]:
     """Return the metadata by which this node proves itself."""
     return ((SECRET_KEY, settings.secret),)
--- /dev/null
+++ b/standins/process.py
@@ -0,0 +1,123 @@
+"""Processes, ports and requests of a fleet on loopback."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+import httpcore
+import msgspec
+
+__all__ = ["IP", "Answer", "Process", "choose_port", "fetch", "wait_for"]
+
+IP = "127.0.0.1"
+STOP_SECONDS = 15.0
+_AWAY = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+_used_ports: set[int] = set()
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer with lower-case header names."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    names: tuple[str, ...] = ()
+
+    def decode(self):
+        """Return the body's JSON value."""
+        return msgspec.json.decode(self.body)
+
+
+def fetch(
+    method: str,
+    url: str,
+    *,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 10.0,
+) -> Answer:
+    """Send one request on a connection of its own."""
+    limits = dict.fromkeys(("connect", "read", "write"), timeout)
+    answer = httpcore.request(
+        method, url, content=body, headers=headers, extensions={"timeout": limits}
+    )
+    found = {k.decode().lower(): v.decode("latin-1") for k, v in answer.headers}
+    names = tuple(k.decode().lower() for k, _ in answer.headers)
+    return Answer(answer.status, found, answer.content, names)
+
+
+def wait_for(what: str, check: Callable[[], bool], seconds: float = 20.0) -> float:
+    """Return the seconds until `check` held; raise `TimeoutError` naming `what`."""
+    started = time.monotonic()
+    while time.monotonic() - started < seconds:
+        try:
+            if check():
+                return time.monotonic() - started
+        except (*_AWAY, KeyError):
+            pass  # not there yet
+        time.sleep(0.02)
+    raise TimeoutError(f"{what}: not within {seconds:g} s")
+
+
+def choose_port() -> int:
+    """Return a loopback port that is free for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((IP, 0))
+            port = tcp.getsockname()[1]
+            if port in _used_ports:
+                continue
+            try:
+                udp.bind((IP, port))
+            except OSError:
+                continue
+            _used_ports.add(port)
+            return port
+
+
+class Process:
+    """One process that the fleet started."""
+
+    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+        """Start `python -m` with `arguments`; output goes to the file `log`."""
+        self.name = name
+        self._arguments = arguments
+        self._log = log
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, again if it has ended."""
+        with self._log.open("ab") as out:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", *self._arguments], stdout=out, stderr=out
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def stop(self) -> int:
+        """Ask the process to end and return its status."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+    def read_log(self) -> str:
+        """Return what the process wrote."""
+        return self._log.read_text(errors="replace")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from cactusshed.observe.counters import Counters
 from cactusshed.tree.branch import build_tree
 from cactusshed.tree.edit import Edit, make_change, parse_tree_file
+from standins.fleet import open_fleet
 
 from .fakes import FakePort
 
@@ -58,3 +59,10 @@
     """Return version 1: a small valid tree."""
     _, grown = make_change(build_tree(0, ()), "first", "tests", 0.0, edits)
     return grown
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Return a fleet with its platform started and nothing else."""
+    with open_fleet(tmp_path) as fleet:
+        yield fleet
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,75 @@
+"""Helpers of the tests that run fleets of processes."""
+
+import threading
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cactusshed.tree.edit import parse_tree_file
+from standins.process import wait_for
+
+__all__ = [
+    "EDITS",
+    "count_running",
+    "knows_all",
+    "start_call",
+    "start_nodes",
+    "wait_version",
+]
+
+TREE = """
+[/]
+timeout-ms = 4000
+[/*/*/texts]
+version = v1
+[/*/*/texts/read]
+prefix = /texts
+[/*/*/responses]
+version = v1
+[/*/*/responses/submit]
+prefix = /responses
+methods = POST
+"""
+EDITS = {path: dict(found) for path, found in parse_tree_file(TREE).items()}
+
+
+def start_nodes(fleet, names, **options):
+    """Start nodes named `CENTRE-NUMBER` and apply the tree."""
+    for name in names:
+        fleet.start_node(name, name.partition("-")[0], **options)
+    fleet.wait_ready()
+    wait_for("members", lambda: all(knows_all(fleet, name) for name in names))
+    assert_that(fleet.submit(names[0], "first", EDITS, {}).status, Equals(200))
+    wait_version(fleet, 1)
+
+
+def knows_all(fleet, name):
+    """Return whether a node knows every node of the fleet to be alive."""
+    members = fleet.ask(name, "/v1/status")["members"]
+    return sum(m["state"] == "alive" for m in members) == len(fleet.nodes)
+
+
+def wait_version(fleet, number, *names):
+    """Wait until the named nodes, or all, carry at least version `number`."""
+    for name in names or fleet.nodes:
+        wait_for(
+            f"version {number} at {name}",
+            lambda name=name: fleet.ask(name, "/v1/status")["number"] >= number,
+        )
+
+
+def start_call(fleet, node, path, body):
+    """Send a submission in a thread; return the thread and its answer's place."""
+    answers = []
+
+    def send():
+        answers.append(fleet.call(node, path, "POST", body))
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    return thread, answers
+
+
+def count_running(fleet, target_node):
+    """Return the calls that a node's targets run."""
+    return fleet.read_metrics(target_node)["cactusshed_running"]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,7 +12,8 @@
 from testtools.matchers import Contains, Equals, MatchesRegex
 
 from cactusshed.control import EXIT_CODES, main
-from standins.fleet import TOKEN, open_fleet, wait_for
+from standins.fleet import TOKEN, open_fleet
+from standins.process import wait_for
 
 ROOT = Path(__file__).parent.parent
 TREE = ROOT / "examples" / "martelo.ini"
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -9,10 +9,11 @@
 from testtools.matchers import LessThan
 
 from cactusshed.tree.edit import parse_tree_file
-from standins.fleet import open_fleet, wait_for
+from standins.fleet import open_fleet
+from standins.process import wait_for
 
 from .conftest import BASIC
-from .test_failures import knows_all, wait_version
+from .fleets import knows_all, wait_version
 
 BUDGET_BYTES = 18 * 1024
 WINDOW_SECONDS = 6
--- /dev/null
+++ b/tests/test_outages.py
@@ -0,0 +1,136 @@
+"""Outages, freezes, storms and withdrawals, in separate processes."""
+
+import signal
+import time
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from standins.caller import Load, Shot
+from standins.process import wait_for
+
+from .fleets import start_nodes, wait_version
+
+STORM_READS_PER_NODE = 2_000 * 7 / 1_300
+"""A data centre of 1,300 nodes comes back within 7 s at 2,000 reads a second."""
+
+
+def test_withdrawal_and_return_under_load(fleet):
+    """A data centre leaves and returns under load: nothing new there, no failure."""
+    names = ["dakar-1", "dakar-2", "thies-1", "thies-2"]
+    start_nodes(fleet, names)
+    for index, name in enumerate(names):
+        fleet.start_target(f"texts-{index}", name, "texts")
+    fleet.wait_targets("dakar-1", "texts", 4)
+    urls = [fleet.nodes[name].callers_url for name in names]
+    with Load(urls, lambda _index: Shot("GET", "/texts/1"), 200) as load:
+        time.sleep(4)
+        edits = {"/sn-ouest/thies": {"withdrawn": "yes"}}
+        accepted = fleet.submit("dakar-1", "withdraw", edits, {"/sn-ouest/thies": 0})
+        left = load.read_clock()
+        assert_that(accepted.status, Equals(200))
+        fleet.set_fault("down")
+        time.sleep(4)
+        fleet.set_fault("up")
+        back = load.read_clock()
+        number = accepted.decode()["number"]
+        edits = {"/sn-ouest/thies": {"withdrawn": "no"}}
+        again = fleet.submit("dakar-1", "return", edits, {"/sn-ouest/thies": number})
+        assert_that(again.status, Equals(200))
+        time.sleep(3)
+    results = load.results
+    assert_that({result.status for result in results}, Equals({200}))
+    away = {r.target for r in results if left + 2.0 < r.at < back}
+    assert_that(away, Equals({"texts-0", "texts-1"}))
+    after = {r.target for r in results if r.at > back + 2.0}
+    assert_that(len(after), Equals(4))
+
+
+def test_herd_restart_while_platform_is_down(fleet):
+    """All nodes of a data centre die in an outage and recover from other nodes."""
+    names = ["dakar-1", "dakar-2", "dakar-3", "thies-1"]
+    fleet.start_node("thies-1", "thies")
+    seed = f"127.0.0.1:{fleet.nodes['thies-1'].control}"
+    start_nodes(fleet, names[:3], seeds=seed)
+    fleet.start_target("texts-1", "thies-1", "texts")
+    fleet.wait_targets("thies-1", "texts", 1)
+    fleet.set_fault("down")
+    for name in names[:3]:
+        fleet.processes[name].kill()
+    for name in names[:3]:
+        fleet.processes[name].start()
+    fleet.wait_ready(*names[:3], seconds=30)
+    for name in names[:3]:
+        assert_that(fleet.ask(name, "/v1/status")["number"], Equals(1))
+        assert_that(fleet.call(name, "/texts/1").status, Equals(200))
+    refused = fleet.submit("dakar-1", "late", {"/": {"slots": "3"}}, {"/": 1})
+    assert_that(refused.decode()["code"], Equals("platform-unavailable"))
+    fleet.set_fault("up")
+    accepted = fleet.submit("dakar-1", "late", {"/": {"slots": "3"}}, {"/": 1})
+    assert_that(accepted.decode()["number"], Equals(2))
+    wait_version(fleet, 2)
+
+
+def test_frozen_lease_holder_changes_nothing(fleet):
+    """The holder of a move is frozen past its lease; another brings the move home."""
+    names = ["dakar-1", "dakar-2", "thies-1"]
+    start_nodes(fleet, names)
+    for name in names[:2]:
+        fleet.start_target(f"texts-a-{name}", name, "texts")
+        fleet.start_target(f"texts-b-{name}", name, "texts", "v2")
+    fleet.wait_targets("dakar-1", "texts", 4)
+    wanted = {
+        "version": "v1",
+        "move-to": "v2",
+        "move-by": f"{time.time() + 20:.3f}",
+        "move-id": "m1",
+    }
+    answer = fleet.submit("dakar-1", "m1", {"/*/*/texts": wanted}, {"/*/*/texts": 1})
+    assert_that(answer.status, Equals(200))
+    holder = wait_holder(fleet, names)
+    fleet.processes[holder].signal(signal.SIGSTOP)
+    others = [name for name in names if name != holder]
+    time.sleep(9)
+    fleet.processes[holder].signal(signal.SIGCONT)
+    wait_for("done", lambda: is_done(fleet, others[0]), 30)
+    log = fleet.ask(others[0], "/v1/log?limit=100")
+    steps = [e["edits"][0]["values"] for e in log if e["author"] == "move-duty"]
+    shares = [float(step["share"]) for step in steps]
+    assert_that(shares, Equals(sorted(shares)))
+    assert_that([step["state"] for step in steps][-1], Equals("done"))
+    assert_that(fleet.read_metrics(others[0])["cactusshed_version"], GreaterThan(3))
+
+
+def is_done(fleet, name):
+    """Return whether a node sees the one move done."""
+    return fleet.ask(name, "/v1/status")["moves"][0]["state"] == "done"
+
+
+def wait_holder(fleet, names):
+    """Return the node that took a move's first step."""
+
+    def find():
+        return [n for n in names if '"cactusshed:move"' in read_log(fleet, n)]
+
+    wait_for("a first step", find)
+    return find()[0]
+
+
+def read_log(fleet, name):
+    """Return a node's log."""
+    return fleet.processes[name].read_log()
+
+
+def test_reconnect_storm_is_bounded(fleet):
+    """All nodes restart at once: the platform's reads suffice for a data centre."""
+    names = [f"dakar-{index}" for index in range(10)]
+    start_nodes(fleet, names)
+    before = fleet.count_platform()["reads"]
+    for name in names:
+        fleet.processes[name].kill()
+    for name in names:
+        fleet.processes[name].start()
+    fleet.wait_ready()
+    wait_version(fleet, 1)
+    reads = fleet.count_platform()["reads"] - before
+    assert_that(reads, LessThan(len(names) * STORM_READS_PER_NODE))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,8 @@
 from testtools.matchers import Contains, Equals
 
 from cactusshed.tree.edit import parse_tree_file
-from standins.fleet import fetch, open_fleet, wait_for
+from standins.fleet import open_fleet
+from standins.process import fetch, wait_for
 
 from .conftest import BASIC
 
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -8,9 +8,10 @@
 
 from cactusshed.wire import control_pb2 as pb
 from cactusshed.wire.control_pb2_grpc import ControlStub
-from standins.fleet import fetch, open_fleet, wait_for
+from standins.fleet import open_fleet
+from standins.process import fetch, wait_for
 
-from .test_failures import EDITS, knows_all
+from .fleets import EDITS, knows_all
 
 
 @pytest.fixture(scope="module")
