Old news is not gossiped, and rumours need no sort

Its 13,000 rumours were sorted for each datagram; and a node that joins made a rumour of every record it was told, though all others knew them.

Ruled out: the view's indexes (built once for each change).

Red before: test_joining_node_does_not_repeat_the_whole_fleet.

--- a/cactusshed/member/join.py
+++ b/cactusshed/member/join.py
@@ -150,7 +150,7 @@
                 async for reply in call:
                     self.counters.add("control_bytes_received", reply.ByteSize())
                     for member in reply.members:
-                        self.view.merge(load_member(member), now)
+                        self.view.merge(load_member(member), now, is_news=False)
         except grpc.RpcError as error:
             log_event("sync-failed", error=str(wrap_rpc_error(error, "sync", address)))
             return False
--- a/cactusshed/member/records.py
+++ b/cactusshed/member/records.py
@@ -1,6 +1,7 @@
 """Records of nodes and targets, and their form on the wire."""
 
 from enum import IntEnum
+from sys import intern
 
 import attrs
 
@@ -95,8 +96,8 @@
         raise Malformed(str(error), step="load member") from error
     return Member(
         wire.node,
-        wire.region,
-        wire.data_centre,
+        intern(wire.region),
+        intern(wire.data_centre),
         wire.ip,
         wire.calls_port,
         wire.control_port,
@@ -110,4 +111,5 @@
 def _load_target(wire: pb.Target) -> Target:
     for option in ("name", "service", "version"):
         parse_name(option, getattr(wire, option))
-    return Target(wire.name, wire.service, wire.version, wire.slots, wire.ready)
+    service, version = intern(wire.service), intern(wire.version)
+    return Target(wire.name, service, version, wire.slots, wire.ready)
--- a/cactusshed/member/rumors.py
+++ b/cactusshed/member/rumors.py
@@ -1,6 +1,7 @@
 """Rumours: new records and strikes that are still to be told to peers."""
 
 import math
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 
 from ..wire import control_pb2 as pb
@@ -24,8 +25,8 @@
     def __init__(self, count_members: Callable[[], int]) -> None:
         """Ask `count_members` for the size of the fleet when sending."""
         self._count_members = count_members
-        self._members: dict[str, tuple[pb.Member, int]] = {}
-        self._strikes: dict[bytes, tuple[pb.Strike, int]] = {}
+        self._members: OrderedDict[str, tuple[pb.Member, int]] = OrderedDict()
+        self._strikes: OrderedDict[bytes, tuple[pb.Strike, int]] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._members) + len(self._strikes)
@@ -33,11 +34,13 @@
     def add_member(self, member: Member) -> None:
         """Tell peers about `member`, in place of older news of it."""
         self._members[member.node] = (dump_member(member), 0)
+        self._members.move_to_end(member.node, last=False)
 
     def add_strike(self, strike: pb.Strike) -> None:
         """Tell peers about `strike`."""
         if len(self._strikes) < MAX_STRIKES:
             self._strikes[strike.id] = (strike, 0)
+            self._strikes.move_to_end(strike.id, last=False)
 
     def fill(self, packet: pb.Packet) -> pb.Packet:
         """Add to `packet` the least sent rumours that fit, and return it."""
@@ -46,19 +49,21 @@
         packet.rumors.extend(self._take(self._members, room - room // 4))
         return packet
 
-    def _take(self, pending: dict, room: int) -> Iterator:
+    def _take(self, pending: OrderedDict, room: int) -> Iterator:
+        """Yield rumours from the front that fit; each goes to the back, or away.
+
+        New ones are put in front, so the least sent go first without a sort.
+        """
         limit = SPREAD_FACTOR * math.ceil(math.log2(self._count_members() + 2))
-        for key, (rumor, sent) in sorted(pending.items(), key=_get_sent):
+        for _ in range(len(pending)):
+            key, (rumor, sent) = next(iter(pending.items()))
             size = rumor.ByteSize() + 4
             if size > room:
-                break
+                return
             room -= size
             if sent + 1 >= limit:
                 del pending[key]
             else:
                 pending[key] = (rumor, sent + 1)
+                pending.move_to_end(key)
             yield rumor
-
-
-def _get_sent(item: tuple) -> int:
-    return item[1][1]
--- a/cactusshed/member/view.py
+++ b/cactusshed/member/view.py
@@ -64,8 +64,12 @@
         self._store(record)
         return record
 
-    def merge(self, record: Member, now: float) -> bool:
-        """Take `record` if it is newer than what is known; return whether it was."""
+    def merge(self, record: Member, now: float, *, is_news: bool = True) -> bool:
+        """Take `record` if it is newer than what is known; return whether it was.
+
+        Only news is passed on: what a joining node is told of the whole fleet
+        is known to the others.
+        """
         known = self._members.get(record.node)
         if record.node == self._own:
             return self._refute(record)
@@ -77,7 +81,7 @@
             self._gone_since[record.node] = now
         else:
             self._gone_since.pop(record.node, None)
-        self._store(record)
+        self._store(record, is_news=is_news)
         return True
 
     def _refute(self, record: Member) -> bool:
@@ -104,14 +108,15 @@
         if old:
             self._drop_indexes()
 
-    def _store(self, record: Member) -> None:
+    def _store(self, record: Member, *, is_news: bool = True) -> None:
         known = self._members.get(record.node)
         if known is not None:
             self._mix_digest(known)
         self._members[record.node] = record
         self._mix_digest(record)
         self._drop_indexes()
-        self._on_change(record)
+        if is_news:
+            self._on_change(record)
 
     def _mix_digest(self, record: Member) -> None:
         """Add the record to its bucket's digest, or take it out again."""
