An answer to another call is settled instead of told as unknown

A call whose answer was another's ended as unknown, though asking its target's node settles it like any lost answer.

Seen red: the oracle's new fault, an answer to another call in place of the own, with the comparison of ids taken out: an answer was passed on for a call that had not run. A first form of the fault kept the own answer's words and showed nothing.

Also: a move, a drain and a withdrawal at once, as policies; the bench's way 'fails under load' now makes targets run several calls at once.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -1,12 +1,13 @@
 """Moves, withdrawals and cold targets under load, with a baseline in the same run.
 
-    python -m bench.moves
+    python -m bench.moves [ways of being bad...]
 
 Shares and counts are what matters here; the baseline sends each call to a random
 target, retries blindly, and knows no warm-up.
 """
 
 import random
+import sys
 import tempfile
 import time
 from collections import Counter
@@ -37,15 +38,18 @@
 [/*/*/texts/list]
 prefix = /texts/list
 """
-WAYS: dict[str, tuple[str, ...]] = {
-    "good": (),
-    "fails at once": ("--fail-ratio=1.0",),
-    "fails one call in five": ("--fail-ratio=0.2",),
-    "fails later": ("--fail-ratio=1.0", f"--fail-after={WARM_SECONDS + 9:g}"),
-    "fails on one route": ("--fail-ratio=1.0", "--fail-path=/texts/list"),
-    "is slow": ("--ms=150",),
-    "fails under load": ("--overload-fails=2",),
+BUSY = ("--ms=40",)
+"""Makes both versions run several calls at once."""
+WAYS: dict[str, tuple[tuple[str, ...], tuple[str, ...]]] = {
+    "good": ((), ()),
+    "fails at once": ((), ("--fail-ratio=1.0",)),
+    "fails one call in five": ((), ("--fail-ratio=0.2",)),
+    "fails later": ((), ("--fail-ratio=1.0", f"--fail-after={WARM_SECONDS + 9:g}")),
+    "fails on one route": ((), ("--fail-ratio=1.0", "--fail-path=/texts/list")),
+    "is slow": ((), ("--ms=150",)),
+    "fails under load": (BUSY, (*BUSY, "--overload-fails=2")),
 }
+"""Options of the old and of the new version's targets."""
 
 
 @attrs.frozen
@@ -64,18 +68,24 @@
     return Shot("GET", "/texts/list" if index % 5 == 0 else "/texts/1")
 
 
-def start(fleet: Fleet, slots: int, options: tuple[str, ...], with_new: bool) -> None:
-    """Start a node and targets in each data centre, and apply the tree."""
+def start(
+    fleet: Fleet,
+    slots: int,
+    old: tuple[str, ...] = (),
+    new: tuple[str, ...] | None = None,
+) -> None:
+    """Start a node and targets in each data centre, and apply the tree.
+
+    `new` are the options of the new version's targets, `None` for none of them.
+    """
     for centre in CENTRES:
         fleet.start_node(centre, centre)
         size = f"--slots={slots}"
-        fleet.start_target(f"texts-{centre}-a", centre, "texts", "v1", size)
-        if with_new:
-            fleet.start_target(
-                f"texts-{centre}-b", centre, "texts", "v2", size, *options
-            )
+        fleet.start_target(f"texts-{centre}-a", centre, "texts", "v1", size, *old)
+        if new is not None:
+            fleet.start_target(f"texts-{centre}-b", centre, "texts", "v2", size, *new)
     fleet.wait_ready()
-    fleet.wait_targets("dakar", "texts", len(CENTRES) * (2 if with_new else 1))
+    fleet.wait_targets("dakar", "texts", len(CENTRES) * (1 if new is None else 2))
     text = TREE.format(slots=slots)
     edits = {path: dict(found) for path, found in parse_tree_file(text).items()}
     assert fleet.submit("dakar", "first", edits, {}).status == 200
@@ -103,10 +113,10 @@
     assert answer.status == 200, answer.body
 
 
-def measure_way(way: str, options: tuple[str, ...]) -> list:
+def measure_way(way: str, old: tuple[str, ...], new: tuple[str, ...]) -> list:
     """Return the row of one way of being bad."""
     with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
-        start(fleet, 20, options, with_new=True)
+        start(fleet, 20, old, new)
         with Load(get_urls(fleet), make_shot, RATE) as load:
             time.sleep(WARM_SECONDS)
             start_move(fleet)
@@ -114,7 +124,7 @@
             ended = _wait_end(fleet, load, began)
             time.sleep(WATCH_SECONDS)
         move = get_move(fleet)
-        after = fleet.nodes and [r for r in load.results if r.at >= began]
+    after = [r for r in load.results if r.at >= began]
     bad = [r for r in after if r.status != 200]
     new = [r for r in after if r.version == "v2"]
     late = [r for r in after if r.at > ended + 2.0 and (r.version == "v2" or r in bad)]
@@ -155,7 +165,7 @@
 def measure_withdrawal(workload: Workload) -> list[list]:
     """Return a row for each phase of a data centre's leave and return."""
     with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
-        start(fleet, workload.slots, (), with_new=False)
+        start(fleet, workload.slots)
         path = "/sn-ouest/thies"
         with Load(get_urls(fleet), make_shot, RATE) as load:
             time.sleep(WARM_SECONDS)
@@ -200,7 +210,7 @@
     }
     for name, choose in ways.items():
         with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
-            start(fleet, 20, (), with_new=False)
+            start(fleet, 20)
             rng = random.Random(5)
             with Load(choose(fleet), make_shot, 4 * RATE) as load:
                 time.sleep(WARM_SECONDS)
@@ -232,7 +242,7 @@
             "it got 2 s after the end",
             "evidence",
         ],
-        [measure_way(way, options) for way, options in WAYS.items()],
+        [measure_way(way, *WAYS[way]) for way in sys.argv[1:] or WAYS],
     )
     print_table(
         f"A data centre of four leaves and returns at {RATE} calls/s",
--- a/cactusshed/serve/peer.py
+++ b/cactusshed/serve/peer.py
@@ -82,7 +82,12 @@
             return NotRun("peer-unreachable")
         except AnswerMissing:
             return await self._settle(call, endpoint)
-        return self._read_outcome(call, endpoint, reply)
+        if not _is_answer_to(call, reply):
+            # The answer to another call: what became of this one is to be asked.
+            self.counters.add("answers_crossed")
+            await reply.close()
+            return await self._settle(call, endpoint)
+        return self._read_outcome(endpoint, reply)
 
     def _make_headers(self, call: Call, endpoint: Endpoint) -> Headers:
         left = max(1, int((call.deadline - read_monotonic()) * 1000))
@@ -103,11 +108,8 @@
             (names.TENANT, call.tenant.encode()),
         ]
 
-    def _read_outcome(self, call: Call, endpoint: Endpoint, reply: Reply) -> Outcome:
-        """Return the outcome in a peer's answer; one to another call is dropped."""
-        if find_header(reply.headers, names.CALL) != call.call_id.encode():
-            self.counters.add("answers_crossed")
-            return Unknown("answer-crossed")
+    def _read_outcome(self, endpoint: Endpoint, reply: Reply) -> Outcome:
+        """Return the outcome in a peer's answer."""
         self._note_load(endpoint, find_header(reply.headers, names.LOAD))
         run = find_header(reply.headers, names.RUN)
         code = (find_header(reply.headers, names.CODE) or b"").decode()
@@ -156,4 +158,10 @@
             return None
         finally:
             await links.aclose()
-        return self._read_outcome(call, endpoint, reply)
+        if not _is_answer_to(call, reply):
+            return None
+        return self._read_outcome(endpoint, reply)
+
+
+def _is_answer_to(call: Call, reply: Reply) -> bool:
+    return find_header(reply.headers, names.CALL) == call.call_id.encode()
--- a/tests/test_calls_oracle.py
+++ b/tests/test_calls_oracle.py
@@ -29,6 +29,7 @@
 from cactusshed.serve.crashes import Crashes
 from cactusshed.serve.dispatch import Dispatcher
 from cactusshed.serve.gates import Gates
+from cactusshed.serve.headers import CALL, RUN
 from cactusshed.serve.links import AnswerMissing, NotSent
 from cactusshed.serve.messages import Answered, Call, NotRun, Reply
 from cactusshed.serve.peer import PeerCaller
@@ -43,7 +44,7 @@
 from .test_settings import GOOD
 
 NODES = 3
-HOP_FAULTS = ["ok", "ok", "ok", "unsent", "drop", "late", "unanswered", "crash"]
+HOP_FAULTS = ["ok"] * 3 + ["unsent", "drop", "late", "unanswered", "crash", "crossed"]
 TARGET_FAULTS = ["ok", "ok", "ok", "unsent", "die-before", "die-after"]
 COMMIT_FAULTS = ["ok", "ok", "lost", "hang", "down"]
 
@@ -177,8 +178,12 @@
             await serve_request(app, request)
         if fault == "crash":
             self.world.start_node(self.port - 1, incarnation + 1)
-        if fault != "ok":
+        if fault not in ("ok", "crossed"):
             raise AnswerMissing(fault, peer="n", timed_out=False)
+        if fault == "crossed":
+            # The request is lost, and the answer to another call comes instead.
+            headers = [(CALL, b"another-call"), (RUN, b"answered")]
+            return Reply(200, headers, b"not yours")
         return await serve_request(app, request)
 
     def _get_app(self):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -20,12 +20,15 @@
 from cactusshed.observe.tallies import TIME_BUCKETS, choose_time_bucket
 from cactusshed.policy.ban import Bans
 from cactusshed.policy.capacity import ServiceLoad, find_shortfalls
-from cactusshed.policy.pick import order_endpoints, split_tiers
+from cactusshed.policy.pick import order_endpoints, select_open, split_tiers
 from cactusshed.policy.progress import Plan, Progress, advance_move, plan_share
 from cactusshed.policy.quarantine import Quarantine
 from cactusshed.policy.retry import RetryBudget
+from cactusshed.policy.share import list_versions
 from cactusshed.policy.verdict import GOOD, Sample, Verdict, judge_version
 from cactusshed.policy.warmup import Warmup
+from cactusshed.tree.edit import Edit, make_change
+from cactusshed.tree.table import compile_table
 
 PLAN = Plan("m1", "v2", 0.0, 100.0, 0.05)
 START = Progress("m1", "v2", 0.0, "running", 0.0)
@@ -283,6 +286,26 @@
     assert_that(max(counts.values()), LessThan(110))
 
 
+def test_move_drain_and_withdrawal_together(tree):
+    """All three at once: closures prevail, and the share is that of what is open."""
+    change = [
+        Edit("/r/d1", {"withdrawn": "yes"}),
+        Edit("/r/d2", {"drained": "b"}),
+        Edit(
+            "/*/*/texts",
+            {"version": "v1", "move-to": "v2", "move-by": "9", "move-id": "m"},
+        ),
+    ]
+    table = compile_table(make_change(tree, "c", "t", 0.0, change)[1], "r", "d3")
+    endpoints = [make_endpoint(n, d) for n, d in (("a", "d1"), ("b", "d2"))]
+    endpoints += [make_endpoint("c", "d2"), make_endpoint("e", "d3")]
+    names = [e.target.name for e in select_open(endpoints, table)]
+    assert_that(names, Equals(["c", "e"]))
+    route = table.find_route("GET", "/texts")
+    assert_that(list_versions(route, "v2"), Equals(["v2", "v1"]))
+    assert_that(list_versions(route, "v1"), Equals(["v1"]))
+
+
 def test_withdrawal_is_weighed():
     """A withdrawal is refused when too few slots would remain, and says so."""
     endpoints = [make_endpoint("a", "d1", slots=6), make_endpoint("b", "d2", slots=6)]
