--- a/cactusshed/duty/moves.py
+++ b/cactusshed/duty/moves.py
@@ -25,7 +25,7 @@
 from ..tree.table import Move, Route, read_progress
 from .evidence import Collector, Evidence, subtract_evidence
 
-__all__ = ["MoveDuty", "choose_holders", "find_moves"]
+__all__ = ["Keeper", "MoveDuty", "choose_holders", "find_moves"]
 
 LOOK_SECONDS = 0.5
 QUESTIONS_PER_SECOND = 30
@@ -88,7 +88,7 @@
                 yield service, move
 
     def _is_due(self, service: str) -> bool:
-        progress = self._read_progress(service)
+        progress = self.read_progress(service)
         return progress is not None and is_watched(progress, read_wall())
 
     def _get_turn(self, service: str) -> int | None:
@@ -112,7 +112,7 @@
                 return
             log_event("lease-acquired", lease=lease.name, epoch=lease.epoch)
             async with self.collector.keep_channels() as collector:
-                await _Keeper(self, service, lease, collector).run()
+                await Keeper(self, service, lease, collector).run()
         except CactusError as error:
             self.counters.add("duties_failed")
             log_event("duty-failed", service=service, error=str(error))
@@ -125,7 +125,8 @@
         own = self.view.own
         return f"{own.node}/{own.incarnation}"
 
-    def _read_progress(self, service: str) -> Progress | None:
+    def read_progress(self, service: str) -> Progress | None:
+        """Return how far a service's move is, `None` when it has none."""
         move = find_moves(self.current.table.routes).get(service)
         if move is None:
             return None
@@ -141,7 +142,8 @@
             kept["reason"],
         )
 
-    def _make_plan(self, service: str, start: float) -> Plan | None:
+    def make_plan(self, service: str, start: float) -> Plan | None:
+        """Return the plan of a service's move, `None` when it has none."""
         move = find_moves(self.current.table.routes).get(service)
         if move is None:
             return None
@@ -150,8 +152,8 @@
         return Plan(move.move_id, move.to, start, move.by, first)
 
 
-class _Keeper:
-    """One lease and the evidence gathered under it."""
+class Keeper:
+    """One lease, the move that it is for, and the evidence gathered under it."""
 
     def __init__(
         self, duty: MoveDuty, service: str, lease: Lease, collector: Collector
@@ -163,6 +165,7 @@
         self._start = read_wall()
         self._base: Evidence | None = None
         self._recent: deque[Evidence] = deque(maxlen=WINDOW_LOOKS)
+        self._move_id = ""
         self._looks = 0
         self._calls = 0
 
@@ -172,9 +175,13 @@
             started = read_monotonic()
             if not self._lease.is_live(started):
                 raise LeaseLost("the lease ran out", step="move")
-            progress = self._duty._read_progress(self._service)
+            progress = self._duty.read_progress(self._service)
             if progress is None or not is_watched(progress, read_wall()):
                 break
+            if progress.move_id != (self._move_id or progress.move_id):
+                # Another move: its evidence begins anew, under a new lease.
+                break
+            self._move_id = progress.move_id
             await self._look(progress)
             self._lease = await renew_lease(self._duty.port, self._lease)
             await anyio.sleep(self._choose_pause())
@@ -187,7 +194,7 @@
 
     async def _look(self, progress: Progress) -> None:
         duty = self._duty
-        plan = duty._make_plan(self._service, self._start)
+        plan = duty.make_plan(self._service, self._start)
         if plan is None:
             return
         evidence = await self._collector.collect(self._service)
--- a/cactusshed/serve/dispatch.py
+++ b/cactusshed/serve/dispatch.py
@@ -19,7 +19,7 @@
 from .crashes import Crashes
 from .gates import FAILED_STATUS, Gates
 from .messages import SETTLED, TARGET_DIED, Answered, Call, NotRun, Outcome, Unknown
-from .peer import PeerCaller
+from .peer import REPORT_SECONDS, Load, PeerCaller
 
 __all__ = ["Dispatcher"]
 
@@ -33,8 +33,6 @@
 """Added to the number of an attempt that is made again at the same endpoint."""
 FULL_SECONDS = 0.1
 """How long a report of a full target keeps calls from it."""
-REPORT_SECONDS = 2.0
-"""Age past which a load report counts no more."""
 RETRIED_STATUSES = frozenset({502, 503, 504})
 NO_TARGET = NotRun("no-target", 1.0)
 _UNREACHABLE = frozenset({"peer-unreachable", "target-unreachable"})
@@ -156,26 +154,23 @@
         return order_endpoints(tiers, get_load, self.rng)
 
     def _is_full(self, endpoint: Endpoint, now: float) -> bool:
-        name = endpoint.target.name
-        if endpoint.member.node == self.view.own.node:
-            busy, limit = self.gates.get_load(name)
-            return busy >= limit
-        report = self.peers.loads.get(name)
-        if report is None or now - report.at > FULL_SECONDS:
-            return False
-        return report.busy >= report.limit
+        load = self._read_load(endpoint, now, FULL_SECONDS)
+        return load is not None and load.busy >= load.limit
 
     def _get_load(self, endpoint: Endpoint, now: float) -> float:
         """Return how full a target seems: own calls, and its last report if new."""
+        load = self._read_load(endpoint, now, REPORT_SECONDS)
+        own = self._in_flight.get(endpoint.target.name, 0)
+        if load is None:
+            return own / max(1, endpoint.target.slots)
+        return max(own, load.busy) / max(1, load.limit)
+
+    def _read_load(self, endpoint: Endpoint, now: float, max_age: float) -> Load | None:
+        """Return the load of a target: exact on this host, else as last reported."""
         name = endpoint.target.name
         if endpoint.member.node == self.view.own.node:
-            busy, limit = self.gates.get_load(name)
-            return busy / limit
-        own = self._in_flight.get(name, 0)
-        report = self.peers.loads.get(name)
-        if report is None or now - report.at > REPORT_SECONDS:
-            return own / max(1, endpoint.target.slots)
-        return max(own, report.busy) / max(1, report.limit)
+            return Load(*self.gates.get_load(name), now)
+        return self.peers.get_load(name, now, max_age)
 
     async def _try_one(
         self, call: Call, endpoint: Endpoint, attempt: int, *, wait: bool
@@ -192,6 +187,8 @@
                 outcome = await self.peers.call(attempted, endpoint)
         finally:
             self._in_flight[name] -= 1
+            if not self._in_flight[name]:
+                del self._in_flight[name]
         self._note(attempted, endpoint, outcome)
         return outcome
 
--- a/cactusshed/serve/peer.py
+++ b/cactusshed/serve/peer.py
@@ -16,13 +16,14 @@
 from .links import AnswerMissing, Links, NotSent
 from .messages import Answered, Call, Headers, NotRun, Outcome, Reply, Unknown
 
-__all__ = ["PeerCaller"]
+__all__ = ["REPORT_SECONDS", "Load", "PeerCaller"]
 
 SETTLE_PATH = b"/settle"
 MIN_SETTLE_SECONDS = 0.5
 MAX_SETTLE_TRIES = 2
-MAX_LINKS = 4_096
 IDLE_PEER_SECONDS = 30.0
+REPORT_SECONDS = 2.0
+"""Age past which a load report counts no more."""
 
 
 @attrs.define
@@ -55,7 +56,12 @@
         return links
 
     async def retire(self, now: float) -> None:
-        """Close idle connections and drop peers that are not called any more."""
+        """Close idle connections, and drop peers and reports that are old."""
+        self.loads = {
+            name: load
+            for name, load in self.loads.items()
+            if now - load.at <= REPORT_SECONDS
+        }
         for key, links in list(self._links.items()):
             await links.retire(now)
             if links.is_idle(now, IDLE_PEER_SECONDS):
@@ -68,7 +74,7 @@
             member.calls,
             call.method,
             call.path,
-            [*self._make_headers(call, endpoint), *call.headers],
+            [*self._make_headers(call, endpoint, call.deadline), *call.headers],
             call.body,
         )
         try:
@@ -89,8 +95,13 @@
             return await self._settle(call, endpoint)
         return self._read_outcome(endpoint, reply)
 
-    def _make_headers(self, call: Call, endpoint: Endpoint) -> Headers:
-        left = max(1, int((call.deadline - read_monotonic()) * 1000))
+    def get_load(self, name: str, now: float, max_age: float) -> Load | None:
+        """Return the last report of a target, unless it is older than `max_age`."""
+        load = self.loads.get(name)
+        return load if load is not None and now - load.at <= max_age else None
+
+    def _make_headers(self, call: Call, endpoint: Endpoint, deadline: float) -> Headers:
+        left = max(1, int((deadline - read_monotonic()) * 1000))
         flags = ("i" if call.idempotent else "") + ("w" if call.may_wait else "")
         flags += "a" if call.alone else ""
         return [
@@ -140,13 +151,7 @@
         self, call: Call, endpoint: Endpoint, deadline: float
     ) -> Outcome | None:
         member = endpoint.member
-        headers = [
-            header
-            for header in self._make_headers(call, endpoint)
-            if header[0] != names.TIMEOUT_MS
-        ]
-        left = max(1, int((deadline - read_monotonic()) * 1000))
-        headers.append((names.TIMEOUT_MS, str(left).encode()))
+        headers = self._make_headers(call, endpoint, deadline)
         request = make_request(member.calls, "POST", SETTLE_PATH, headers, b"")
         # A connection of its own, since the known ones may be silent.
         links = self.make_links(member.calls, self.counters, self.context)
--- a/cactusshed/spread/follow.py
+++ b/cactusshed/spread/follow.py
@@ -8,7 +8,7 @@
 import grpc
 
 from ..clock import read_monotonic
-from ..errors import CactusError, UpdateRefused
+from ..errors import CactusError
 from ..member.records import Member
 from ..member.view import View
 from ..observe.counters import Counters
@@ -193,7 +193,7 @@
         for peer in (*others, member):
             try:
                 await fetch_since(self.settings, self.current, peer)
-            except (CactusError, UpdateRefused):
+            except CactusError:
                 continue
             self.counters.add("updates_healed")
             return
--- a/cactusshed/spread/poll.py
+++ b/cactusshed/spread/poll.py
@@ -48,15 +48,21 @@
 
     async def run(self) -> None:
         """Poll for as long as the node runs."""
+        is_hinted = False
         while True:
-            if self._should_poll():
+            if is_hinted or self._should_poll():
                 await self.poll()
             if not self.current.ready:
                 await self._find_floor()
-            with anyio.move_on_after(self._choose_interval()):
-                await self._hint.wait()
-                await self.poll()
-            self._hint = anyio.Event()
+            is_hinted = await self._wait_hint(self._choose_interval())
+
+    async def _wait_hint(self, seconds: float) -> bool:
+        """Return whether a hint came within `seconds`, or while polling."""
+        with anyio.move_on_after(seconds):
+            await self._hint.wait()
+        is_hinted = self._hint.is_set()
+        self._hint = anyio.Event()
+        return is_hinted
 
     def _get_rank(self) -> int:
         own = self.view.own
--- /dev/null
+++ b/tests/test_poll.py
@@ -0,0 +1,82 @@
+"""Polling: hints are not lost, and an outage harms nothing."""
+
+import anyio
+import attrs
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cactusshed.member.records import Member
+from cactusshed.member.view import View
+from cactusshed.observe.counters import Counters
+from cactusshed.platform.accept import Proposal, accept_change
+from cactusshed.settings import parse_settings
+from cactusshed.spread.current import Current
+from cactusshed.spread.poll import Poller
+from cactusshed.tree.edit import Edit
+
+from .test_settings import GOOD
+
+
+async def no_pause():
+    """Do not wait between attempts."""
+
+
+def make_poller(port):
+    """Return the poller of a lone node that polls once a minute."""
+    settings = attrs.evolve(parse_settings(GOOD), poll_interval=60.0)
+    view = View(Member("n1", "r", "d", "127.0.0.1", 1, 2, 1), lambda _member: None)
+    current = Current("r", "d", Counters())
+    return Poller(settings, port, current, view, Counters())
+
+
+async def accept(port, poller, change_id, edits):
+    """Accept a change and tell the poller of it."""
+    proposal = Proposal(change_id, "tests", tuple(edits), {})
+    change, _ = await accept_change(
+        port, proposal, lambda: poller.current.tree, no_pause
+    )
+    poller.hint(change.number)
+
+
+async def run_hinted(port, edits):
+    """Accept a change while the one before is polled; return what is held."""
+    poller = make_poller(port)
+    read = port.get
+
+    async def get_then_accept(key):
+        row = await read(key)
+        port.get = read
+        await accept(port, poller, "second", [Edit("/", {"slots": "3"})])
+        return row
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(poller.run)
+        await anyio.wait_all_tasks_blocked()
+        await accept(port, poller, "first", edits)
+        port.get = get_then_accept
+        with anyio.move_on_after(3.0):
+            while poller.current.number < 2:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    return poller.current.number
+
+
+def test_hint_during_a_poll_is_not_lost(port, edits):
+    """A change accepted while a hint is followed is read at once after it."""
+    assert_that(anyio.run(run_hinted, port, edits), Equals(2))
+
+
+async def run_outage(port, edits):
+    """Poll, lose the platform, poll again; return what is held and served."""
+    poller = make_poller(port)
+    proposal = Proposal("first", "tests", edits, {})
+    await accept_change(port, proposal, lambda: poller.current.tree, no_pause)
+    await poller.poll()
+    port.down = True
+    await poller.poll()
+    return poller.current.number, poller.current.ready
+
+
+def test_outage_changes_nothing(port, edits):
+    """What was in force stays in force while the platform is out."""
+    assert_that(anyio.run(run_outage, port, edits), Equals((1, True)))
