--- a/bench/spread.py
+++ b/bench/spread.py
@@ -23,7 +23,9 @@
 SIZES = (8, 16, 32)
 CENTRES = ("recife", "fortaleza", "salvador", "natal")
 CHANGES = 10
+RESTARTS = 5
 IDLE_SECONDS = 10.0
+RUMORS = "cactusshed_rumors"
 TREE = Path(__file__).parent.parent / "examples" / "martelo.ini"
 BYTES = (
     "cactusshed_control_bytes_sent_total",
@@ -113,7 +115,7 @@
 
 def measure_idle(fleet: Fleet, names: list[str]) -> tuple[float, float]:
     """Return control bytes a second and node, and platform reads a second."""
-    time.sleep(2)
+    wait_for("told", lambda: sum_counter(fleet, names, RUMORS) == 0, 120)
     bytes_before = sum_counter(fleet, names, *BYTES)
     reads_before = fleet.count_platform()["reads"]
     time.sleep(IDLE_SECONDS)
@@ -123,6 +125,30 @@
     return rate, reads / IDLE_SECONDS
 
 
+def measure_churn(fleet: Fleet, names: list[str], idle: float) -> float:
+    """Return the bytes, beyond idle ones, that a target's restart costs each node.
+
+    A restart is three pieces of news: leaving, gone, and back again.
+    """
+    before = sum_counter(fleet, names, *BYTES)
+    started = time.monotonic()
+    for number in range(RESTARTS):
+        name = f"rounds-{number}"
+        fleet.start_target(name, names[0], "rounds")
+        fleet.wait_targets(names[-1], "rounds", 1)
+        fleet.processes[name].stop()
+        wait_for("gone", lambda: not knows_target(fleet, names[-1]), 30)
+    wait_for("told", lambda: sum_counter(fleet, names, RUMORS) == 0, 60)
+    took = time.monotonic() - started
+    spent = (sum_counter(fleet, names, *BYTES) - before) / len(names)
+    return (spent - idle * took) / RESTARTS
+
+
+def knows_target(fleet: Fleet, name: str) -> bool:
+    """Return whether a node knows any target."""
+    return any(m["targets"] for m in fleet.ask(name, "/v1/status")["members"])
+
+
 def measure_storm(fleet: Fleet, names: list[str]) -> int:
     """Kill all nodes, start them together, and return the platform reads."""
     before = fleet.count_platform()["reads"]
@@ -167,6 +193,7 @@
     with tempfile.TemporaryDirectory() as folder, open_fleet(Path(folder)) as fleet:
         names = start_nodes(fleet, size)
         idle_bytes, idle_reads = measure_idle(fleet, names)
+        churn = measure_churn(fleet, names, idle_bytes)
         changes = measure_changes(fleet, names, 0.2)
         plain_last, plain_reads = measure_plain(fleet, size, names[0])
         storm = measure_storm(fleet, names)
@@ -176,6 +203,7 @@
         max(changes["last"]),
         take_percentile(plain_last, 50),
         idle_bytes,
+        churn,
         idle_reads,
         plain_reads,
         storm,
@@ -194,6 +222,7 @@
             "worst s",
             "plain median s",
             "idle B/s a node",
+            "bytes a node for a target's restart",
             "idle reads/s",
             "plain reads/s",
             "storm reads",
