Read as a newcomer: claims in two modules, one wrapper of requests, one number parser

No behaviour changes but for counters' names: callers_refused, peers_refused and operators_refused take the place of requests_refused, peer_calls_refused and one counter for each code.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,7 +16,7 @@
 from cactusshed.member.join import SEED_SECONDS, SEED_SLOTS
 from cactusshed.member.rumors import SPREAD_FACTOR
 from cactusshed.platform.accept import SNAPSHOT_EVERY
-from cactusshed.platform.claim import MAX_GROUP
+from cactusshed.platform.claims import MAX_GROUP
 from cactusshed.spread.parent import FAN_OUT, POLLERS
 
 FOLDER = Path(__file__).parent
@@ -178,7 +178,7 @@
         MOVES_AT_ONCE / LOOK_SECONDS,
         "platform/lease",
     )
-    yield label, 0.0, 2 * keyed, "platform/claim"
+    yield label, 0.0, 2 * keyed, "platform/claims"
 
 
 def render_table(head: tuple, rows: Iterator[tuple], budgets: dict) -> str:
--- a/cactusshed/member/records.py
+++ b/cactusshed/member/records.py
@@ -7,9 +7,10 @@
 
 from ..errors import Malformed
 from ..options import Address, BadOption, parse_address, parse_name
+from ..settings import Settings
 from ..wire import control_pb2 as pb
 
-__all__ = ["Member", "State", "Target", "dump_member", "load_member"]
+__all__ = ["Member", "State", "Target", "dump_member", "load_member", "make_own_member"]
 
 MAX_TARGETS = 64
 
@@ -64,6 +65,20 @@
         return (self.incarnation, self.seq, self.state)
 
 
+def make_own_member(settings: Settings, incarnation: int) -> Member:
+    """Return the record by which a node with `settings` makes itself known."""
+    calls = settings.calls_advertised or settings.calls
+    return Member(
+        node=settings.node,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        ip=settings.control.ip,
+        calls_port=calls.port,
+        control_port=settings.control.port,
+        incarnation=incarnation,
+    )
+
+
 def dump_member(member: Member) -> pb.Member:
     """Return the wire form of `member`."""
     return pb.Member(
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -14,7 +14,7 @@
 from .member.announce import Targets
 from .member.gossip import Gossip
 from .member.join import Joiner
-from .member.records import Member, State, Target
+from .member.records import State, Target, make_own_member
 from .member.rumors import Rumors
 from .member.view import View
 from .observe.counters import Counters
@@ -24,7 +24,7 @@
 from .operate.app import OperatorApp
 from .operate.editor import Editor
 from .operate.report import Reporter
-from .platform.claim import Claims
+from .platform.claims import Claims
 from .platform.client import Client
 from .policy.ban import Bans
 from .policy.quarantine import Quarantine
@@ -61,18 +61,6 @@
 RETIRE_SECONDS = 1.0
 
 
-def _make_member(settings: Settings) -> Member:
-    return Member(
-        node=settings.node,
-        region=settings.region,
-        data_centre=settings.data_centre,
-        ip=settings.control.ip,
-        calls_port=(settings.calls_advertised or settings.calls).port,
-        control_port=settings.control.port,
-        incarnation=int(read_wall() * 1000),
-    )
-
-
 class Node:
     """The parts of one node."""
 
@@ -91,7 +79,10 @@
 
     def _make_membership(self) -> None:
         self.rumors = Rumors(lambda: len(self.view))
-        self.view = View(_make_member(self.settings), self.rumors.add_member)
+        self.view = View(
+            make_own_member(self.settings, int(read_wall() * 1000)),
+            self.rumors.add_member,
+        )
         self._crashes = Crashes(Quarantine(), self.rumors, self.counters)
         self._gossip = Gossip(
             self.view,
--- a/cactusshed/operate/app.py
+++ b/cactusshed/operate/app.py
@@ -9,19 +9,18 @@
 
 from ..clock import read_monotonic
 from ..duty.withdraw import Withdrawer
-from ..errors import CactusError, Forbidden, Malformed
+from ..errors import Forbidden, Malformed
 from ..member.announce import Targets, parse_announcement
 from ..observe.counters import Counters
 from ..observe.histograms import Histograms
 from ..observe.page import render_page
 from ..serve.asgi import (
-    Disconnected,
     Receive,
     Send,
     read_body,
-    send_error,
     send_json,
     send_text,
+    serve_request,
 )
 from ..serve.gates import Gates
 from ..serve.headers import find_header
@@ -67,15 +66,9 @@
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        if scope["type"] != "http":
-            return
-        try:
-            await self._serve(scope, receive, send)
-        except Disconnected:
-            return
-        except CactusError as error:
-            self.counters.add(f"operators_{error.code.replace('-', '_')}")
-            await send_error(send, error)
+        await serve_request(
+            self._serve, scope, receive, send, self.counters, "operators"
+        )
 
     async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
         handler = _HANDLERS.get((scope["method"], scope["path"]))
--- a/cactusshed/options.py
+++ b/cactusshed/options.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 
@@ -49,14 +50,14 @@
     raise BadOption(f"{option}: {text!r} is not one of yes, no")
 
 
-def parse_int(low: int, high: int) -> Callable[[str, str], int]:
-    """Return a parser of integers from `low` to `high`."""
-
-    def parse(option: str, text: str) -> int:
+def _parse_number(
+    kind: type, noun: str, low: float, high: float
+) -> Callable[[str, str], Any]:
+    def parse(option: str, text: str) -> Any:
         try:
-            value = int(text)
+            value = kind(text)
         except ValueError:
-            raise BadOption(f"{option}: {text!r} is not a whole number") from None
+            raise BadOption(f"{option}: {text!r} is not a {noun}") from None
         if not low <= value <= high:
             raise BadOption(f"{option}: {value} is outside {low} to {high}")
         return value
@@ -64,19 +65,14 @@
     return parse
 
 
-def parse_float(low: float, high: float) -> Callable[[str, str], float]:
-    """Return a parser of numbers from `low` to `high`."""
+def parse_int(low: int, high: int) -> Callable[[str, str], int]:
+    """Return a parser of integers from `low` to `high`."""
+    return _parse_number(int, "whole number", low, high)
 
-    def parse(option: str, text: str) -> float:
-        try:
-            value = float(text)
-        except ValueError:
-            raise BadOption(f"{option}: {text!r} is not a number") from None
-        if not low <= value <= high:
-            raise BadOption(f"{option}: {value} is outside {low} to {high}")
-        return value
 
-    return parse
+def parse_float(low: float, high: float) -> Callable[[str, str], float]:
+    """Return a parser of numbers from `low` to `high`."""
+    return _parse_number(float, "number", low, high)
 
 
 def parse_choice(choices: Iterable[str]) -> Callable[[str, str], str]:
--- a/cactusshed/platform/claim.py
+++ b/cactusshed/platform/claim.py
@@ -1,38 +1,28 @@
-"""Claims: rows that let one dispatch of an idempotency key win.
-
-Claims that arrive together are written in one transaction. A lost answer is
-settled by reading back the nonce.
-"""
+"""Rows of claims and of the outcomes of claimed calls."""
 
 import base64
 import hashlib
-from collections.abc import Iterable
 
-import anyio
 import attrs
 import msgspec
 
-from ..clock import read_monotonic, read_wall
-from ..errors import AnswerLost, CactusError, ConditionFailed, PlatformUnavailable
-from ..observe.counters import Counters
-from .port import ABSENT, Condition, Port, Row, Write
+from .port import Row
 
 __all__ = [
     "MAX_BODY_BYTES",
     "Claim",
     "ClaimRow",
-    "Claims",
     "OutcomeRow",
     "Recorded",
     "decode_body",
+    "dump_row",
     "encode_body",
+    "load_claim",
+    "load_outcome",
     "make_claim_key",
+    "make_outcome_key",
 ]
 
-GROUP_SECONDS = 0.004
-"""Time for which claims are gathered into one transaction."""
-MAX_GROUP = 50
-RETRY_SECONDS = 0.2
 MAX_BODY_BYTES = 16 << 10
 """A larger answer is not recorded, only that there was one."""
 
@@ -76,18 +66,6 @@
     row: ClaimRow
 
 
-@attrs.define(eq=False)
-class _Wish:
-    """A row to be inserted if absent, and what became of it."""
-
-    key: str
-    row: ClaimRow
-    done: anyio.Event = attrs.Factory(anyio.Event)
-    holder: ClaimRow | None = None
-    error: CactusError | None = None
-    abandoned: bool = False
-
-
 def make_claim_key(service: str, tenant: str, key: str) -> str:
     """Return the row key of a claim; caller's keys may hold any character."""
     digest = hashlib.sha256(f"{tenant}\0{key}".encode()).hexdigest()[:40]
@@ -99,221 +77,19 @@
     return claim_key.replace("claim/", "outcome/", 1)
 
 
-def _dump(row: ClaimRow | OutcomeRow) -> str:
+def dump_row(row: ClaimRow | OutcomeRow) -> str:
+    """Return the stored form of a row."""
     return msgspec.json.encode(row).decode()
 
 
-def _load(row: Row) -> ClaimRow:
+def load_claim(row: Row) -> ClaimRow:
+    """Return the claim in a row."""
     return msgspec.json.decode(row.value, type=ClaimRow)
 
 
-class Claims:
-    """The task that writes claims and their outcomes in groups."""
-
-    def __init__(self, port: Port, node: str, rate: int, counters: Counters) -> None:
-        """Write at most `rate` transactions a second."""
-        self._port = port
-        self._node = node
-        self._pause = 1.0 / rate
-        self._counters = counters
-        self._wishes, self._wished = anyio.create_memory_object_stream[_Wish](1000)
-        self._ends, self._ended = anyio.create_memory_object_stream[_Outcome](1000)
-        self._frees, self._freed = anyio.create_memory_object_stream[Claim](1000)
-
-    async def run(self) -> None:
-        """Write claims and outcomes for as long as the node runs."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._write_claims)
-            tasks.start_soon(self._write_outcomes)
-            tasks.start_soon(self._delete_claims)
-
-    async def claim(self, key: str, nonce: str, print_: str, deadline: float) -> _Wish:
-        """Insert a claim row if absent and return the wish with its holder.
-
-        Tries until `deadline`; raises `PlatformUnavailable` when the platform
-        stayed out. The call was not dispatched in either case.
-        """
-        row = ClaimRow(nonce, self._node, read_wall(), print_)
-        while True:
-            wish = _Wish(key, row)
-            with anyio.move_on_after(max(0.0, deadline - read_monotonic())):
-                await self._wishes.send(wish)
-                await wish.done.wait()
-            if wish.holder is not None:
-                return wish
-            wish.abandoned = True
-            if read_monotonic() + RETRY_SECONDS >= deadline:
-                raise PlatformUnavailable("claims can't be written", step="claim")
-            await anyio.sleep(RETRY_SECONDS)
-
-    def record(self, claim: Claim, answer: Recorded | None) -> None:
-        """Record, in the background, how a claimed call ended."""
-        outcome = OutcomeRow(claim.row.nonce, answer)
-        self._post(self._ends, _Outcome(make_outcome_key(claim.key), outcome))
-
-    def release(self, claim: Claim) -> None:
-        """Delete, in the background, the claim of a call that was not run."""
-        self._post(self._frees, claim)
-
-    def _post(self, stream, end: "_Outcome | Claim") -> None:
-        try:
-            stream.send_nowait(end)
-        except anyio.WouldBlock:
-            self._counters.add("claim_ends_dropped")
-
-    async def _write_claims(self) -> None:
-        while True:
-            group = [await self._wished.receive()]
-            await anyio.sleep(GROUP_SECONDS)
-            group.extend(_take_ready(self._wished, MAX_GROUP - 1))
-            wanted = [wish for wish in group if not wish.abandoned]
-            await self._write_group(list(_split_repeats(wanted)))
-            self._release_abandoned(wanted)
-            await anyio.sleep(self._pause)
-
-    def _release_abandoned(self, group: list[_Wish]) -> None:
-        """Give back claims whose callers stopped waiting during the write."""
-        for wish in group:
-            if wish.abandoned and wish.holder is wish.row:
-                self.release(Claim(wish.key, wish.row))
-
-    async def _write_group(self, group: list[_Wish]) -> None:
-        if not group:
-            return
-        self._counters.add("claims", len(group))
-        try:
-            await self._port.commit(
-                [Condition(wish.key, ABSENT) for wish in group],
-                [Write(wish.key, _dump(wish.row)) for wish in group],
-            )
-        except ConditionFailed:
-            await self._write_free(group)
-        except AnswerLost:
-            await self._read_back(group)
-            _finish(group)
-        except CactusError as error:
-            _fail(group, error)
-        else:
-            for wish in group:
-                wish.holder = wish.row
-            _finish(group)
-
-    async def _write_free(self, group: list[_Wish]) -> None:
-        """Find out which claims of a group are taken, and write the others."""
-        await self._read_back(group)
-        free = [wish for wish in group if wish.holder is None and wish.error is None]
-        if len(free) == len(group):
-            # What was taken has been given back meanwhile; the callers try again.
-            _fail(free, ConditionFailed("claims moved", step="claim"))
-        else:
-            await self._write_group(free)
-        _finish(group)
-
-    async def _read_back(self, group: list[_Wish]) -> None:
-        """Look up who holds the claims of a group."""
-        for wish in group:
-            try:
-                row = await self._port.get(wish.key)
-            except CactusError as error:
-                wish.error = error
-            else:
-                wish.holder = None if row is None else _load(row)
-
-    async def read_outcome(self, key: str, holder: ClaimRow) -> OutcomeRow | None:
-        """Return how the call of a claim ended, `None` when that is not known."""
-        try:
-            row = await self._port.get(make_outcome_key(key))
-        except CactusError:
-            return None
-        if row is None:
-            return None
-        outcome = msgspec.json.decode(row.value, type=OutcomeRow)
-        return outcome if outcome.nonce == holder.nonce else None
-
-    async def _write_outcomes(self) -> None:
-        while True:
-            group = [await self._ended.receive()]
-            await anyio.sleep(GROUP_SECONDS)
-            group.extend(_take_ready(self._ended, MAX_GROUP - 1))
-            while not await self._insert_outcomes(group):
-                await anyio.sleep(RETRY_SECONDS)
-            await anyio.sleep(self._pause)
-
-    async def _insert_outcomes(self, group: list["_Outcome"]) -> bool:
-        """Insert outcomes that are absent; return whether no further try is due."""
-        try:
-            await self._port.commit(
-                [Condition(outcome.key, ABSENT) for outcome in group],
-                [Write(outcome.key, _dump(outcome.row)) for outcome in group],
-            )
-        except ConditionFailed:
-            # One of them is there already, from a try whose answer was lost.
-            if len(group) == 1:
-                return True
-            done = [await self._insert_outcomes([outcome]) for outcome in group]
-            return all(done)
-        except CactusError:
-            return False
-        return True
-
-    async def _delete_claims(self) -> None:
-        while True:
-            claim = await self._freed.receive()
-            while not await self._delete_claim(claim):
-                await anyio.sleep(RETRY_SECONDS)
-            await anyio.sleep(self._pause)
-
-    async def _delete_claim(self, claim: Claim) -> bool:
-        """Delete a claim of ours; return whether no further try is due."""
-        try:
-            row = await self._port.get(claim.key)
-            if row is None or _load(row).nonce != claim.row.nonce:
-                return True
-            await self._port.commit(
-                [Condition(claim.key, row.version)], [Write(claim.key, None)]
-            )
-        except CactusError:
-            return False
-        return True
-
-
-@attrs.frozen
-class _Outcome:
-    """An outcome that is to be inserted."""
-
-    key: str
-    row: OutcomeRow
-
-
-def _take_ready(stream, limit: int) -> Iterable:
-    for _ in range(limit):
-        try:
-            yield stream.receive_nowait()
-        except anyio.WouldBlock:
-            return
-
-
-def _split_repeats(group: list[_Wish]) -> Iterable[_Wish]:
-    """Yield the first wish for each key; later ones lose to it."""
-    first: dict[str, _Wish] = {}
-    for wish in group:
-        winner = first.setdefault(wish.key, wish)
-        if winner is wish:
-            yield wish
-        else:
-            wish.holder = winner.row
-            wish.done.set()
-
-
-def _fail(group: list[_Wish], error: CactusError) -> None:
-    for wish in group:
-        wish.error = error
-    _finish(group)
-
-
-def _finish(group: list[_Wish]) -> None:
-    for wish in group:
-        wish.done.set()
+def load_outcome(row: Row) -> OutcomeRow:
+    """Return the outcome in a row."""
+    return msgspec.json.decode(row.value, type=OutcomeRow)
 
 
 def encode_body(body: bytes) -> str:
--- a/cactusshed/serve/asgi.py
+++ b/cactusshed/serve/asgi.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors import CactusError, Malformed
+from ..observe.counters import Counters
 from . import headers as names
 from .messages import Answered, Headers, NotRun, Outcome, Unknown
 
@@ -17,6 +18,7 @@
     "send_json",
     "send_outcome",
     "send_text",
+    "serve_request",
 ]
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -76,6 +78,26 @@
             return b"".join(chunks)
 
 
+async def serve_request(
+    serve: Callable[[dict, Receive, Send], Awaitable[None]],
+    scope: dict[str, Any],
+    receive: Receive,
+    send: Send,
+    counters: Counters,
+    side: str,
+) -> None:
+    """Serve one request; an error is sent with its code and counted for `side`."""
+    if scope["type"] != "http":
+        return
+    try:
+        await serve(scope, receive, send)
+    except Disconnected:
+        counters.add(f"{side}_gone")
+    except CactusError as error:
+        counters.add(f"{side}_refused")
+        await send_error(send, error)
+
+
 async def _send_whole(send: Send, status: int, headers: Headers, body: bytes) -> None:
     length = [(b"content-length", str(len(body)).encode())]
     await send(
--- a/cactusshed/serve/callers.py
+++ b/cactusshed/serve/callers.py
@@ -6,18 +6,16 @@
 import attrs
 
 from ..clock import read_monotonic
-from ..errors import CactusError
 from ..observe.counters import Counters
 from ..observe.histograms import CallClass, Histograms
 from ..spread.current import Current
 from . import headers as names
 from .asgi import (
-    Disconnected,
     Receive,
     Send,
     read_body,
-    send_error,
     send_outcome,
+    serve_request,
 )
 from .claimant import Claimant
 from .dispatch import Dispatcher
@@ -53,16 +51,11 @@
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        if scope["type"] != "http":
-            return
         self.running += 1
         try:
-            await self._serve(scope, receive, send)
-        except Disconnected:
-            self.counters.add("callers_gone")
-        except CactusError as error:
-            self.counters.add("requests_refused")
-            await send_error(send, error)
+            await serve_request(
+                self._serve, scope, receive, send, self.counters, "callers"
+            )
         finally:
             self.running -= 1
 
--- a/cactusshed/serve/claimant.py
+++ b/cactusshed/serve/claimant.py
@@ -11,12 +11,12 @@
     MAX_BODY_BYTES,
     Claim,
     ClaimRow,
-    Claims,
     Recorded,
     decode_body,
     encode_body,
     make_claim_key,
 )
+from ..platform.claims import Claims
 from .messages import Answered, Call, NotRun, Outcome, Reply, Unknown
 
 __all__ = ["Claimant"]
--- a/cactusshed/serve/peers.py
+++ b/cactusshed/serve/peers.py
@@ -6,12 +6,12 @@
 import attrs
 
 from ..clock import read_monotonic
-from ..errors import CactusError, Forbidden, Malformed
+from ..errors import Forbidden, Malformed
 from ..observe.counters import Counters
 from ..policy.ledger import Entry, Standing
 from ..tree.keys import CLASSES
 from . import headers as names
-from .asgi import Disconnected, Receive, Send, read_body, send_error, send_outcome
+from .asgi import Receive, Send, read_body, send_outcome, serve_request
 from .gates import Gates
 from .headers import find_header, keep_end_to_end, read_count, strip_own
 from .messages import SETTLED, Call, Headers, NotRun, Outcome, Unknown
@@ -37,16 +37,11 @@
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one call or one question about a call."""
-        if scope["type"] != "http":
-            return
         self.running += 1
         try:
-            await self._serve(scope, receive, send)
-        except Disconnected:
-            self.counters.add("peers_gone")
-        except CactusError as error:
-            self.counters.add("peer_calls_refused")
-            await send_error(send, error)
+            await serve_request(
+                self._serve, scope, receive, send, self.counters, "peers"
+            )
         finally:
             self.running -= 1
 
