A node whose seeds are all gone goes on alone after seconds, not a quarter minute

Pauses now end at 2 s, about 5 s in all. Not run by itself: no check restarts a node whose seeds are all gone.

--- a/cactusshed/member/join.py
+++ b/cactusshed/member/join.py
@@ -32,6 +32,8 @@
 READ_SEEDS_EVERY = 3
 """Tries with the same seeds: in a storm they are only starting themselves."""
 JOIN_PAUSE = 0.5
+LONGEST_JOIN_PAUSE = 2.0
+"""A node whose seeds are all gone must not wait long before it goes on alone."""
 MEMBERS_IN_REPLY = 256
 MAX_SEED_ROWS = 200
 
@@ -74,7 +76,8 @@
                     return True
             if not others:
                 return False
-            await anyio.sleep(self.rng.uniform(0, JOIN_PAUSE * 2**attempt))
+            longest = min(LONGEST_JOIN_PAUSE, JOIN_PAUSE * 2**attempt)
+            await anyio.sleep(self.rng.uniform(0, longest))
         return False
 
     async def run(self) -> None:
