--- a/cactusshed/member/gossip.py
+++ b/cactusshed/member/gossip.py
@@ -24,7 +24,6 @@
 __all__ = ["Gossip", "seal_packet", "unseal_packet"]
 
 SEAL_BYTES = 16
-MAX_DATAGRAM = 1_472
 OUTBOX_PACKETS = 1_000
 HELPERS = 3
 """Peers that are asked to probe a peer that did not answer."""
