--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import attrs
 
@@ -14,6 +13,7 @@
 from .dispatch import Dispatcher, Outcome, Plan
 from .frames import ANSWERED, NOT_RUN, Call, Result
 from .listener import Request, Response, make_response
+from .moves import Moves
 from .records import Records
 from .table import Route
 from .upstream import Headers
@@ -64,7 +64,7 @@
     counters: Counters
     histograms: Histograms
     service: str
-    choose_version: Callable[[str], str]
+    moves: Moves
     rng: random.Random = attrs.Factory(random.Random)
     longest: dict[str, float] = attrs.Factory(dict)
 
@@ -132,7 +132,8 @@
             now + min(given, route.timeout),
             now + route.aim - spent,
             route.attempts,
-            lambda: self.choose_version(service),
+            lambda: self.moves.choose_version(service),
+            lambda version: self.moves.find_fallback(service, version),
         )
 
     async def _run(self, plan: Plan) -> Outcome:
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -30,6 +30,7 @@
 """Advice when no target is open: news of one that opens travels within it."""
 MIN_REPEAT_PART = 0.7
 """Part of the usual service time that must be left for a repeat to make sense."""
+_MOVED = frozenset({"version-closed", "other-version"})
 _BUSY = "target-busy"
 _ROOM = frozenset({"no-room", "no-time", "over-budget"})
 
@@ -42,8 +43,10 @@
     deadline: float
     aim: float
     attempts: int
-    version_of: Callable[[], str]
-    """Chooses the version that the next attempt goes to; empty for any."""
+    choose_version: Callable[[], str]
+    """Chooses the version that a call goes to; empty for any."""
+    find_fallback: Callable[[str], str]
+    """Returns the version to use when the chosen one has no room; may be empty."""
 
 
 @attrs.define
@@ -65,6 +68,7 @@
     refusals: list[Result] = attrs.Factory(list)
     failure: Result | None = None
     last: str = ""
+    version: str = ""
 
 
 @attrs.define
@@ -83,23 +87,34 @@
 
     async def run(self, plan: Plan) -> Outcome:
         """Bring a call to a target and return its one outcome."""
-        state = _Try()
+        state = _Try(version=plan.choose_version())
         for _ in range(MAX_TRIES):
-            choice = self._choose(plan, state)
-            if choice is None or _has_no_room(state):
-                break
+            choice = None if _has_no_room(state) else self._choose(plan, state)
+            if choice is None:
+                if not self._fall_back(plan, state):
+                    break
+                continue
             result = await self._try(plan, state, *choice)
             if self._is_final(plan, state, result):
                 return Outcome(result, state.arrivals, state.last)
         return Outcome(self._conclude(plan, state), state.arrivals, state.last)
 
+    def _fall_back(self, plan: Plan, state: _Try) -> bool:
+        """Turn to the old version of a move; return whether that is allowed."""
+        fallback = plan.find_fallback(state.version)
+        if not fallback or state.failure is not None:
+            return False
+        state.version = fallback
+        state.refusals.clear()
+        return True
+
     def _choose(
         self, plan: Plan, state: _Try
     ) -> tuple[Candidate, Member | None] | None:
         """Return the target to try next, `None` when there is none."""
         now = read_monotonic()
         usual = self.usual.get(plan.call.route, plan.call.aim_ms / 3000)
-        version = plan.version_of()
+        version = state.version
         members = {m.node: m for m in self._list_open(plan.call.service, version)}
         candidates = [
             self._make_candidate(node, member)
@@ -217,7 +232,7 @@
     def _is_final(self, plan: Plan, state: _Try, result: Result) -> bool:
         """Note a result; return whether it ends the call."""
         if result.outcome == NOT_RUN:
-            self._note_refusal(state, result)
+            self._note_refusal(plan, state, result)
             return state.arrivals >= plan.attempts
         state.arrivals += 1
         state.tried.add(state.last)
@@ -242,12 +257,14 @@
         )
         return False
 
-    def _note_refusal(self, state: _Try, result: Result) -> None:
+    def _note_refusal(self, plan: Plan, state: _Try, result: Result) -> None:
         if result.code == _BUSY:
             state.probes += 1
             return
         state.refusals.append(result)
         state.tried.add(state.last)
+        if result.code in _MOVED:
+            state.version = plan.choose_version()
         if result.has_arrived:
             state.arrivals += 1
 
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -20,6 +20,7 @@
     "Frame",
     "Hello",
     "Load",
+    "MoveNews",
     "News",
     "Ping",
     "Pong",
@@ -185,6 +186,13 @@
     """Answers a ping."""
 
 
+class MoveNews(msgspec.Struct, array_like=True, tag=13):
+    """A move as the sender knows it, and its row's version in the store."""
+
+    value: bytes
+    version: int
+
+
 Frame = (
     Hello
     | Call
@@ -198,6 +206,7 @@
     | Evidence
     | Ping
     | Pong
+    | MoveNews
 )
 
 
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -11,6 +11,7 @@
     Cancel,
     Evidence,
     Frame,
+    MoveNews,
     Pull,
     Result,
     Settle,
@@ -19,6 +20,7 @@
 )
 from .gate import Gate
 from .link import Link
+from .moves import Moves
 from .peers import Member
 from .records import Records
 from .suspects import Suspects
@@ -34,6 +36,7 @@
     records: Records
     suspects: Suspects
     pass_on: Callable[[Link, Frame], None]
+    moves: Moves | None = None
     _calls: dict[tuple[int, int], tuple[Call, asyncio.Task]] = attrs.Factory(dict)
 
     @property
@@ -58,7 +61,9 @@
         elif isinstance(frame, Snapshot):
             self.records.take_snapshot(frame.rows, frame.revision)
         elif isinstance(frame, Evidence):
-            pass
+            self.moves.take_evidence(frame)
+        elif isinstance(frame, MoveNews):
+            self.moves.take_news(frame)
         else:
             self.pass_on(link, frame)
 
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -24,6 +24,7 @@
 from .inbound import Inbound
 from .link import Link, serve_links
 from .listener import Listener, Request, Response, make_response
+from .moves import Moves
 from .peers import Member, Peers
 from .records import Records
 from .storekeeper import Storekeeper
@@ -97,6 +98,7 @@
             self.gate, self.records, self.suspects, self._handle_frame
         )
         self.peers: Peers | None = None
+        self.moves: Moves | None = None
         self.tasks: list[asyncio.Task] = []
 
     # Messages between the parts.
@@ -144,6 +146,8 @@
 
     def _note_member(self, member: Member) -> None:
         """Ask another node for what it knows, unless the store tells in time."""
+        if member.link is not None:
+            self.moves.greet(member.link.send)
         if member.revision > self.records.revision or (
             member.version > self.records.table.version
         ):
@@ -166,6 +170,8 @@
         evacuated = self.settings.data_centre in self.records.evacuated
         if gate.set_closure("evacuated", evacuated) and not evacuated:
             gate.note_sign_of_restart(is_down=False)
+        if self.moves is not None:
+            self.moves.apply()
         self.announcements.refresh()
         self._tell()
 
@@ -187,6 +193,15 @@
             self._note_remembered,
             self.counters,
         )
+        self.moves = self.inbound.moves = Moves(
+            settings.node,
+            settings.service,
+            self.store,
+            self.records,
+            self.gate,
+            self.peers,
+            lambda: self.announcements.state,
+        )
         dispatcher = Dispatcher(
             settings.node,
             settings.data_centre,
@@ -201,7 +216,7 @@
             self.counters,
             self.histograms,
             settings.service,
-            lambda service: "",
+            self.moves,
         )
         links = await serve_links(
             settings.peers, self.inbound.handle, self.inbound.lose
@@ -220,6 +235,7 @@
             self.keeper.follow(),
             self.keeper.keep_members(),
             self.keeper.keep_row(),
+            self.moves.run(),
             self.announcements.ask(),
             self.announcements.watch(),
             self.gate.tick(),
