--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -122,6 +122,7 @@
             caller=self.service,
             is_repeatable=route.repeatable,
             is_repeat=False,
+            may_have_run=False,
             is_inner=False,
             may_wait=True,
         )
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -168,6 +168,7 @@
         call.left_ms = max(0, int((plan.deadline - now) * 1000))
         call.aim_ms = max(0, int((plan.aim - now) * 1000))
         call.is_repeat = state.arrivals > 0
+        call.may_have_run = state.failure is not None
         call.attempt += 1
         state.last = candidate.name
         view = candidate.view
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -102,6 +102,8 @@
     caller: str
     is_repeatable: bool
     is_repeat: bool
+    """Whether the request has reached a target before."""
+    may_have_run: bool
     is_inner: bool
     may_wait: bool
 
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -268,7 +268,9 @@
                 return "fenced"
         if not call.is_repeat:
             self.budget.note_first(now)
-        elif not self.budget.take(self.count_gates(), now):
+            return ""
+        gates = self.count_gates()
+        if not self.budget.take(gates, now, has_run=call.may_have_run):
             return "over-budget"
         return ""
 
--- a/cactusshed/policy/repeats.py
+++ b/cactusshed/policy/repeats.py
@@ -14,8 +14,12 @@
 
 BUCKETS = 20
 """Parts into which the window is divided; the error is one part."""
-RATIO_PART = 0.5
-"""Part of the ratio that gates spend: a repeat's own calls count as repeats too."""
+RATIO_PART = 0.6
+"""Part of the ratio that gates spend; the rest covers calls of repeated runs."""
+RUN_COST = 2.5
+"""What a repeat of a request that has run is charged: its calls repeat as well.
+
+Runs of the users' services make up to one and a half calls each on average."""
 SLACK_PART = 0.7
 """Part of the slack that gates share; the rest covers gates that come and go."""
 
@@ -24,7 +28,7 @@
 class _Bucket:
     number: int
     firsts: int = 0
-    repeats: int = 0
+    repeats: float = 0.0
 
 
 class RepeatBudget:
@@ -49,12 +53,16 @@
         """Count a request that arrives for the first time."""
         self._get_bucket(now).firsts += 1
 
-    def take(self, gates: int, now: float) -> bool:
-        """Return whether a repeat may pass one of `gates` gates, and count it."""
+    def take(self, gates: int, now: float, *, has_run: bool) -> bool:
+        """Return whether a repeat may pass one of `gates` gates, and count it.
+
+        `has_run` says that the request may have run before.
+        """
         bucket = self._get_bucket(now)
         firsts = sum(each.firsts for each in self._buckets)
         repeats = sum(each.repeats for each in self._buckets)
-        if repeats + 1 > self._ratio * firsts + self._slack / max(1, gates):
+        cost = RUN_COST if has_run else 1.0
+        if repeats + cost > self._ratio * firsts + self._slack / max(1, gates):
             return False
-        bucket.repeats += 1
+        bucket.repeats += cost
         return True
