Targets are chosen by the chance of lateness, the own data centre first

Ruled out: keep-alive probes (no change with none sent).

A call made by a target is known by the running request whose identity its own extends; it goes first, and one made by a repeat counts as a repeat.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -105,9 +105,11 @@
         longest = max(given, self.longest.get(route.name, 0.0))
         self.longest[route.name] = longest
         service = choose_service(route, self.rng.random())
+        request_id = request.find(names.ATTEMPT_ID)
+        parent = self.dispatcher.gate.suspects.find_parent(request_id)
         call = Call(
             number=0,
-            request_id=request.find(names.ATTEMPT_ID),
+            request_id=request_id,
             attempt=0,
             method=request.method,
             path=request.path,
@@ -123,7 +125,8 @@
             is_repeatable=route.repeatable,
             is_repeat=False,
             may_have_run=False,
-            is_inner=False,
+            is_inner=parent is not None,
+            is_of_repeat=parent is not None and parent.is_repeat,
             may_wait=True,
         )
         # A client that returns after a refusal has less time left than at first.
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -23,8 +23,6 @@
 """Gates that may refuse for lack of room: the second was the next best."""
 MAX_TRIES = 8
 """Gates that one call asks at the most, of all reasons."""
-FAR_SECONDS = 0.01
-"""Set-back of another data centre: its bytes cost about a twentieth of an answer."""
 EMPTY_LOAD = Load(0, 0, 1, 0.0)
 NO_TARGET_RETRY_MS = 150
 """Advice when no target is open: news of one that opens travels within it."""
@@ -124,7 +122,10 @@
         own = self._make_own(plan.call.service, version)
         if own is not None and self.node not in state.tried:
             candidates.append(own)
-        ordered = order_candidates(candidates, usual, now, self.rng)
+        left = plan.aim - now
+        if left <= 0 or plan.call.is_inner:
+            left = plan.deadline - now
+        ordered = order_candidates(candidates, usual, left, now, self.rng)
         if not ordered:
             return None
         wait, candidate = ordered[0]
@@ -153,12 +154,11 @@
         now = read_monotonic()
         busy = load.running + load.waiting
         self.own_view.report(busy, load.limit, load.mean_ms / 1000, now)
-        return Candidate(self.node, self.own_view, 0.0, gate.cold.is_cold(now))
+        return Candidate(self.node, self.own_view, False, gate.cold.is_cold(now))
 
     def _make_candidate(self, node: str, member: Member) -> Candidate:
         is_far = member.data_centre != self.data_centre
-        extra = FAR_SECONDS if is_far else 0.0
-        return Candidate(node, member.view, extra, member.state.is_cold)
+        return Candidate(node, member.view, is_far, member.state.is_cold)
 
     async def _try(
         self, plan: Plan, state: _Try, candidate: Candidate, member: Member | None
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -105,6 +105,9 @@
     """Whether the request has reached a target before."""
     may_have_run: bool
     is_inner: bool
+    """Whether a target that is running a request made the call."""
+    is_of_repeat: bool
+    """Whether that request was itself a repeat."""
     may_wait: bool
 
 
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -267,7 +267,7 @@
             if not self.ledger.dispatch(request_id):
                 return "fenced"
         if not call.is_repeat:
-            self.budget.note_first(now)
+            self.budget.note_first(now, is_of_repeat=call.is_of_repeat)
             return ""
         gates = self.count_gates()
         if not self.budget.take(gates, now, has_run=call.may_have_run):
--- a/cactusshed/mesh/suspects.py
+++ b/cactusshed/mesh/suspects.py
@@ -1,4 +1,4 @@
-"""Requests that were in flight when the target died."""
+"""Requests that are with the target, and those that were when it died."""
 
 import hashlib
 import secrets
@@ -30,17 +30,26 @@
     """
 
     quarantine: Quarantine
-    _running: dict[int, Call] = attrs.Factory(dict)
+    _running: dict[bytes, Call] = attrs.Factory(dict)
     _broken: list[tuple[float, Call, bool]] = attrs.Factory(list)
 
     def begin(self, call: Call, now: float) -> None:
         """Note that a request goes to the target."""
-        self._running[id(call)] = call
+        self._running[call.request_id] = call
         self._broken = [b for b in self._broken if now - b[0] <= CRASH_SECONDS]
 
     def end(self, call: Call) -> None:
         """Note that a request is no longer with the target."""
-        self._running.pop(id(call), None)
+        self._running.pop(call.request_id, None)
+
+    def find_parent(self, request_id: bytes) -> Call | None:
+        """Return the running request whose identity `request_id` extends, if any.
+
+        Targets name their calls so; a name that no running request has begun is
+        taken for a client's.
+        """
+        parent, dot, _ = request_id.rpartition(b".")
+        return self._running.get(parent) if dot else None
 
     def fail(self, call: Call, now: float) -> None:
         """Note that the connection of a request broke without an answer."""
--- a/cactusshed/policy/place.py
+++ b/cactusshed/policy/place.py
@@ -1,4 +1,4 @@
-"""Choice of a target: the one that is expected to answer first.
+"""Choice of a target: the one that is least likely to answer late.
 
 Load pattern: targets of one service differ in speed and load, and reports of
 their load are as old as their last answer. Own calls since that answer are added
@@ -10,14 +10,12 @@
 
 import attrs
 
-__all__ = ["Candidate", "LoadView", "order_candidates"]
+__all__ = ["Candidate", "LoadView", "estimate_lateness", "order_candidates"]
 
 FRESH_SECONDS = 1.0
 """Age above which a report of load says nothing; a queue drains well within it."""
 SPREAD = 0.1
-"""Random part of an estimate, so that nodes do not all choose alike."""
-FAILURE_PENALTY = 4.0
-"""Service times that a target is set back for failing every request."""
+"""Random part of a risk, so that nodes do not all choose alike."""
 SMOOTHING = 0.1
 """Weight of one outcome in a target's failure rate."""
 
@@ -58,32 +56,59 @@
         return max(0, over) * (self.mean or usual) / self.limit
 
 
+FAR_RISK = 0.05
+"""Chance of lateness at which another data centre is as good: its bytes cost about
+a twentieth of what an answer earns."""
+COLD_RISK = 0.1
+"""Set-back of a cold target beyond the slowness that its answers show."""
+STEEPNESS = 3.3
+"""Shape of the times of the users' work: a third is late at its mean time, and
+one in twenty at two and a half times the mean."""
+
+
 @attrs.frozen
 class Candidate:
-    """A target that may be chosen; `name` is its node, `extra` seconds of distance."""
+    """A target that may be chosen; `name` is its node."""
 
     name: str
     view: LoadView
-    extra: float
+    is_far: bool
     is_cold: bool
 
 
-COLD_SECONDS = 0.1
-"""Set-back of a cold target: it is slow, and bears a bounded rate."""
+def estimate_lateness(left: float, service: float) -> float:
+    """Return the chance that work of `service` seconds on average takes longer."""
+    if left <= 0:
+        return 1.0
+    return 1.0 / (1.0 + (left / max(service, 1e-6)) ** STEEPNESS)
 
 
 def order_candidates(
-    candidates: Iterable[Candidate], usual: float, now: float, rng: random.Random
+    candidates: Iterable[Candidate],
+    usual: float,
+    left: float,
+    now: float,
+    rng: random.Random,
 ) -> list[tuple[float, Candidate]]:
-    """Return the expected wait and each candidate, the soonest answer first."""
+    """Return the expected wait and each candidate, the most promising first.
+
+    `usual` is the route's service time over all targets and `left` the time
+    until its aim, both in seconds.
+    """
+    found = list(candidates)
+    means = [c.view.mean for c in found if c.view.mean]
+    typical = sum(means) / len(means) if means else 1.0
     scored = []
-    for candidate in candidates:
+    for candidate in found:
         view = candidate.view
-        wait = view.estimate_wait(now, usual)
-        service = view.mean or usual
-        cost = wait + service * (1 + FAILURE_PENALTY * view.failures) + candidate.extra
-        cost += COLD_SECONDS if candidate.is_cold else 0.0
-        cost *= 1 + SPREAD * rng.random()
-        scored.append((cost, wait, candidate))
+        service = usual * (view.mean / typical if view.mean else 1.0)
+        wait = view.estimate_wait(now, service)
+        risk = estimate_lateness(left - wait, service)
+        risk = 1 - (1 - risk) * (1 - view.failures)
+        risk += FAR_RISK * candidate.is_far + COLD_RISK * candidate.is_cold
+        # The wait breaks ties where every target would be late.
+        risk += wait / (left + wait) if left > 0 else wait
+        risk *= 1 + SPREAD * rng.random()
+        scored.append((risk, wait, candidate))
     scored.sort(key=lambda entry: entry[0])
     return [(wait, candidate) for _, wait, candidate in scored]
--- a/cactusshed/policy/repeats.py
+++ b/cactusshed/policy/repeats.py
@@ -49,9 +49,15 @@
             self._buckets.append(_Bucket(number))
         return self._buckets[-1]
 
-    def note_first(self, now: float) -> None:
-        """Count a request that arrives for the first time."""
-        self._get_bucket(now).firsts += 1
+    def note_first(self, now: float, *, is_of_repeat: bool) -> None:
+        """Count a request that arrives for the first time.
+
+        A call made by the run of a repeat is a repeat too, but is not refused:
+        that would waste the run.
+        """
+        bucket = self._get_bucket(now)
+        bucket.firsts += 1
+        bucket.repeats += is_of_repeat
 
     def take(self, gates: int, now: float, *, has_run: bool) -> bool:
         """Return whether a repeat may pass one of `gates` gates, and count it.
