Backpressure where the calls of targets find no room; cold rate nearer its bound

Cause: after a power loss all targets are cold for 2.5 s. Ruled out: the start of nodes (0.3 s) and finding each other. A gate now admits what lately had its calls served; calls rank as the request they serve; the cold rate uses 0.7 of the excess that the rule allows; a request past its aim no longer waits behind others.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -89,6 +89,9 @@
             return make_response(400)
         plan = self._make_plan(request, route)
         outcome = await self._run(plan)
+        if plan.call.is_inner:
+            found_no_room = outcome.result.outcome == NOT_RUN
+            self.dispatcher.gate.pressure.note_call(found_no_room)
         return self._respond(plan, route, outcome, request)
 
     def _find_route(self, request: Request) -> Route | None:
@@ -118,7 +121,7 @@
             left_ms=0,
             aim_ms=0,
             route=route.name,
-            rank=route.rank,
+            rank=parent.rank if parent is not None else route.rank,
             service=service,
             version="",
             caller=self.service,
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -14,6 +14,7 @@
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..platform import headers as names
+from ..policy.backpressure import Backpressure
 from ..policy.cold import ColdGuard
 from ..policy.ledger import Entry, Ledger
 from ..policy.ledger import Standing as Known
@@ -63,6 +64,7 @@
     """Told when the target may have restarted, so that it is asked."""
     room: Room = attrs.Factory(lambda: Room(1))
     cold: ColdGuard = attrs.Factory(ColdGuard)
+    pressure: Backpressure = attrs.Factory(Backpressure)
     ledger: Ledger = attrs.Factory(Ledger)
     instance: str = ""
     """Identity of the target that requests are meant for."""
@@ -113,16 +115,29 @@
         """Admit and expire waiting calls until cancelled."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
+            now = read_monotonic()
+            if self.pressure.step(now):
+                log_line("backpressure", rate=self.pressure.rate)
             if self.room.waiting:
-                self._notify(self.room.expire(read_monotonic()))
+                self._notify(self.room.expire(now))
                 self.advance()
 
     def advance(self) -> None:
         """Let waiting calls start as far as there is room."""
         now = read_monotonic()
-        rate = self.cold.get_rate(now)
-        tokens = self.cold.bucket.count(now) if rate is not None else 0
-        self._notify(self.room.admit(now, rate, tokens))
+        self._notify(self.room.admit(now, *self._get_bound(now)))
+
+    def _get_bound(self, now: float) -> tuple[float | None, int]:
+        """Return the starts a second that are allowed, and those allowed now."""
+        bounds = []
+        if self.cold.is_cold(now):
+            bucket = self.cold.bucket
+            bounds.append((bucket.rate, bucket.count(now)))
+        if self.pressure.rate is not None:
+            bounds.append((self.pressure.rate, self.pressure.count_tokens(now)))
+        if not bounds:
+            return None, 0
+        return min(rate for rate, _ in bounds), min(tokens for _, tokens in bounds)
 
     def _notify(self, tickets: Iterable[Ticket]) -> None:
         for ticket in tickets:
@@ -136,6 +151,7 @@
         now = read_monotonic()
         if self.cold.is_cold(now):
             self.cold.bucket.take(now)
+        self.pressure.note_start(now)
 
     async def run(self, call: Call) -> Result:
         """Run a call on the target, once it is admitted."""
@@ -240,9 +256,7 @@
 
     async def _enter(self, ticket: Ticket) -> None:
         now = read_monotonic()
-        rate = self.cold.get_rate(now)
-        tokens = self.cold.bucket.count(now) if rate is not None else 0
-        self.room.offer(ticket, now, rate, tokens)
+        self.room.offer(ticket, now, *self._get_bound(now))
         if ticket.standing == Standing.RUNNING:
             self._note_start()
         elif ticket.standing == Standing.WAITING:
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -166,7 +166,8 @@
         gate = self.gate
         service = self.records.table.services.get(self.settings.service)
         if service is not None:
-            gate.cold.adjust(service.cold_rate, self.settings.bounds.cold_slack)
+            bounds = self.settings.bounds
+            gate.cold.adjust(service.cold_rate, bounds.cold_factor, bounds.cold_slack)
         evacuated = self.settings.data_centre in self.records.evacuated
         if gate.set_closure("evacuated", evacuated) and not evacuated:
             gate.note_sign_of_restart(is_down=False)
--- a/cactusshed/policy/cold.py
+++ b/cactusshed/policy/cold.py
@@ -9,6 +9,9 @@
 
 __all__ = ["ColdGuard", "TokenBucket"]
 
+RATE_PART = 0.7
+"""Part of the allowed excess that is used; the rest covers requests that are sent
+evenly and arrive in a bunch."""
 MIN_RATE = 1.0
 """Requests a second for a service whose settings name no rate."""
 
@@ -57,10 +60,14 @@
     is_doubted: bool = True
     bucket: TokenBucket = attrs.Factory(lambda: TokenBucket(MIN_RATE, 1.0))
 
-    def adjust(self, rate: float, burst: float) -> None:
-        """Take over the rate that the service's cold targets bear."""
-        self.bucket.rate = max(MIN_RATE, rate)
-        self.bucket.burst = max(1.0, burst)
+    def adjust(self, rate: float, factor: float, slack: float) -> None:
+        """Take over what the service's cold targets bear.
+
+        They bear `rate` requests a second, and in one second at the most
+        `factor` times that and `slack` more.
+        """
+        self.bucket.rate = max(MIN_RATE, rate * (1 + RATE_PART * (factor - 1)))
+        self.bucket.burst = max(1.0, slack)
 
     def doubt(self, now: float) -> None:
         """Hold the target cold until it says otherwise."""
@@ -78,7 +85,3 @@
     def is_cold(self, now: float) -> bool:
         """Return whether starts are bounded."""
         return self.is_doubted or now < self.until
-
-    def get_rate(self, now: float) -> float | None:
-        """Return the starts a second that are allowed, `None` for no bound."""
-        return self.bucket.rate if self.is_cold(now) else None
--- a/cactusshed/policy/room.py
+++ b/cactusshed/policy/room.py
@@ -3,8 +3,9 @@
 Load pattern: arrivals exceed what the slots serve, for seconds or for good. A
 queue in order of arrival then makes every answer late. Here the queue takes only
 what it can still serve; requests that can meet their aim go before those that
-can't; calls made by targets go first, since their callers hold a slot elsewhere;
-what can't be served is refused on arrival.
+can't, then the more urgent; of equally urgent ones the calls made by targets go
+first, since their callers hold a slot elsewhere. What can't be served is refused
+on arrival.
 """
 
 import heapq
@@ -20,8 +21,9 @@
 """Weight of one answer in the usual service time: the last twenty or so count."""
 FIRST_SECONDS = 0.05
 """Service time before any answer was seen: the order of the users' work times."""
-LATE_PART = 0.5
-"""Part of the time left that a request past its aim may be expected to wait."""
+LATE_PART = 0.6
+"""Part of the time left in which a request that misses its aim must be expected to
+end; it waits only while nothing does that can meet its aim."""
 DOOMED_PART = 0.5
 """Part of the usual service time that must remain for a start to make sense."""
 MIN_RETRY_SECONDS = 0.02
@@ -51,7 +53,8 @@
 class Ticket:
     """One request at the gate; `deadline` and `aim` are monotonic seconds.
 
-    `rank` 0 is the most urgent; `is_inner` marks calls that a target makes;
+    `rank` 0 is the most urgent; a call that a target makes (`is_inner`) has the
+    rank of the request that it serves;
     `may_wait` is false for a request that would rather go elsewhere.
     """
 
@@ -162,7 +165,7 @@
         left = ticket.deadline - now
         if ticket.is_inner and wait + usual <= left:
             self._push(ticket, is_late=False)
-        elif wait <= LATE_PART * left and wait + usual <= left:
+        elif not self._ahead[False] and wait <= LATE_PART * left - usual:
             self._push(ticket, is_late=True)
         else:
             _refuse(ticket, Refusal("no-room", self._advise(rate)))
@@ -239,8 +242,8 @@
     return ticket.standing == Standing.WAITING
 
 
-def _make_key(ticket: Ticket, *, is_late: bool) -> tuple[bool, bool, int]:
-    return not ticket.is_inner, is_late, ticket.rank
+def _make_key(ticket: Ticket, *, is_late: bool) -> tuple[bool, int, bool]:
+    return is_late, ticket.rank, not ticket.is_inner
 
 
 def _refuse(ticket: Ticket, refusal: Refusal) -> Ticket:
--- /dev/null
+++ b/standins/meshtarget.py
@@ -0,0 +1,146 @@
+"""Stand-in for a target on the users' platform: scripted answers, counted runs."""
+
+import asyncio
+from collections import Counter
+
+import attrs
+
+from cactusshed.options import Address
+
+__all__ = ["MeshTarget", "open_mesh_target"]
+
+
+@attrs.define(eq=False)
+class MeshTarget:
+    """A target that answers as `script` says, by path; else 200 after `work`.
+
+    Script words: `reset` (run, then reset), `truncate`, `unsealed`, `extra`
+    (a second answer follows), `foreign` (another's answer first), `shed`,
+    `fail`, `hang`, `unframed`.
+    """
+
+    instance: str = "i-1"
+    work: float = 0.0
+    cold_ms: int | None = None
+    script: dict[str, str] = attrs.Factory(dict)
+    runs: Counter = attrs.Factory(Counter)
+    seen: list[tuple[bytes, dict[bytes, bytes], bytes]] = attrs.Factory(list)
+    broken_off: int = 0
+    running: int = 0
+    most_running: int = 0
+    connections: int = 0
+    address: Address | None = None
+    _server: asyncio.Server | None = None
+
+    async def open(self, ip: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, ip, port)
+        ip, port = self._server.sockets[0].getsockname()
+        self.address = Address(ip, port)
+
+    def close(self) -> None:
+        """Listen no longer."""
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                continue
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader, writer) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        first, *lines = head[:-4].split(b"\r\n")
+        pairs = (line.partition(b": ")[::2] for line in lines)
+        headers = {name.lower(): value for name, value in pairs}
+        body = await reader.readexactly(int(headers.get(b"content-length", 0)))
+        path = first.split(b" ")[1]
+        if path == b"/healthz":
+            self._write(writer, 200, headers, b"", sealed=False, health=True)
+            return True
+        wanted = headers.get(b"x-expect-instance", b"").decode()
+        if wanted and wanted != self.instance:
+            self._write(writer, 421, headers, b"", sealed=False)
+            return True
+        self.seen.append((first, headers, body))
+        return await self._run(reader, writer, path.decode(), headers)
+
+    async def _run(self, reader, writer, path, headers) -> bool:
+        word = self.script.get(path, "")
+        if word == "shed":
+            self._write(writer, 503, headers, b"", sealed=False, refused=True)
+            return True
+        self.runs[headers.get(b"x-attempt-id", b"").decode()] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            ended = await self._work(reader, 3600 if word == "hang" else self.work)
+        finally:
+            self.running -= 1
+        if not ended:
+            self.broken_off += 1
+            return False
+        return self._answer(writer, word, headers)
+
+    async def _work(self, reader, seconds: float) -> bool:
+        """Work, and return False if the caller has left meanwhile."""
+        if not seconds:
+            return True
+        closing = asyncio.create_task(reader.read(1))
+        done, _ = await asyncio.wait([closing], timeout=seconds)
+        if done and closing.result() == b"":
+            return False
+        closing.cancel()
+        return True
+
+    def _answer(self, writer, word, headers) -> bool:
+        if word == "reset":
+            writer.transport.abort()
+            return False
+        if word == "truncate":
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-length: 9\r\n"
+                b"x-attempt-id: " + headers[b"x-attempt-id"] + b"\r\n\r\nhal"
+            )
+            return False
+        if word == "unframed":
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\n"
+                b"x-attempt-id: " + headers[b"x-attempt-id"] + b"\r\n\r\nwhole"
+            )
+            return False
+        if word == "foreign":
+            other = {**headers, b"x-attempt-id": b"another"}
+            self._write(writer, 200, other, b"foreign")
+        status = 500 if word == "fail" else 200
+        self._write(writer, status, headers, b"done", sealed=word != "unsealed")
+        if word == "extra":
+            self._write(writer, status, headers, b"again")
+        return True
+
+    def _write(
+        self, writer, status, headers, body, *, sealed=True, health=False, refused=False
+    ) -> None:
+        lines = [b"HTTP/1.1 %d X" % status, b"content-length: %d" % len(body)]
+        if b"x-attempt-id" in headers:
+            lines.append(b"x-attempt-id: " + headers[b"x-attempt-id"])
+        if sealed:
+            lines.append(b"x-response-seal: s")
+        if refused:
+            lines.append(b"x-not-executed: 1")
+        if health or status == 421:
+            lines.append(b"x-instance-id: " + self.instance.encode())
+            if self.cold_ms is not None:
+                lines.append(b"x-cold-ms: %d" % self.cold_ms)
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+
+async def open_mesh_target(**fields) -> MeshTarget:
+    """Return a target that listens on loopback."""
+    target = MeshTarget(**fields)
+    await target.open()
+    return target
--- /dev/null
+++ b/standins/rowstore.py
@@ -0,0 +1,151 @@
+"""Stand-in for the users' store of rows, over HTTP, with faults on demand."""
+
+import asyncio
+import base64
+from urllib.parse import parse_qs
+
+import attrs
+import msgspec
+
+from cactusshed.mesh.listener import Listener, Request, Response, make_response
+from cactusshed.mesh.table import Limits
+from cactusshed.options import Address
+
+__all__ = ["RowStoreApp", "open_row_store"]
+
+PREFIX = "/cactusshed/"
+LIMITS = Limits(idle_seconds=60.0)
+ANSWER_HEADERS = [(b"content-type", b"application/json")]
+
+
+@attrs.define(eq=False)
+class RowStoreApp:
+    """Rows in memory; `fault` is one of up, busy, silent, lose or late.
+
+    `lose` carries writes out without an answer, `late` carries them out
+    `late_seconds` later if their condition still holds.
+    """
+
+    rows: dict[tuple[str, str], tuple[bytes, int]] = attrs.Factory(dict)
+    history: list[tuple[str, str, bytes | None, int]] = attrs.Factory(list)
+    version: int = 0
+    forgotten: int = 0
+    fault: str = "up"
+    late_seconds: float = 0.2
+    calls: int = 0
+    _changed: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Write or drop a row as the operator does; return the version."""
+        self.version += 1
+        self._store(table, key, value)
+        return self.version
+
+    def put_json(self, table: str, key: str, value: object) -> int:
+        """Write a row with `value` as JSON."""
+        return self.put(table, key, msgspec.json.encode(value))
+
+    def _store(self, table: str, key: str, value: bytes | None) -> None:
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = (value, self.version)
+        self.history.append((table, key, value, self.version))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def forget_history(self) -> None:
+        """Drop the changes that the feed could resume from."""
+        self.forgotten = self.version
+        self.history.clear()
+
+    async def serve(self, request: Request) -> Response:
+        """Serve one call."""
+        self.calls += 1
+        if self.fault == "busy":
+            return make_response(503)
+        if self.fault == "silent":
+            await asyncio.sleep(3600)
+        path, _, query = request.path.decode().partition("?")
+        fields = {k: v[0] for k, v in parse_qs(query, keep_blank_values=True).items()}
+        call = path.removeprefix(PREFIX)
+        if call == "rows-get":
+            return self._get(fields)
+        if call == "rows-feed":
+            return await self._feed(fields)
+        if call == "rows-tx":
+            return await self._write(msgspec.json.decode(request.body))
+        return make_response(404)
+
+    def _answer(self, status: int, **fields: object) -> Response:
+        body = msgspec.json.encode({**fields, "ver": self.version, "now": "0ms"})
+        return Response(status, list(ANSWER_HEADERS), body)
+
+    def _get(self, fields: dict) -> Response:
+        low, high = fields.get("from", ""), fields.get("to", "\U0010ffff")
+        rows = [
+            _render(table, key, value, version)
+            for (table, key), (value, version) in sorted(self.rows.items())
+            if table == fields["table"] and low <= key < high
+        ]
+        return self._answer(200, rows=rows, has_more=False)
+
+    async def _feed(self, fields: dict) -> Response:
+        after = int(fields["after"])
+        if after < self.forgotten:
+            return make_response(410)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(fields["wait_ms"]) / 1000
+        while True:
+            newest = {
+                (table, key): (value, version)
+                for table, key, value, version in self.history
+                if table == fields["table"] and version > after
+            }
+            if newest or loop.time() >= end:
+                break
+            waiter = asyncio.create_task(self._changed.wait())
+            await asyncio.wait([waiter], timeout=end - loop.time())
+            waiter.cancel()
+        rows = [_render(*name, *row) for name, row in newest.items()]
+        rows.sort(key=lambda row: row["ver"])
+        return self._answer(200, rows=rows)
+
+    async def _write(self, body: dict) -> Response:
+        if self.fault == "late":
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_seconds, self._commit, body)
+            await asyncio.sleep(3600)
+        done = self._commit(body)
+        if self.fault == "lose":
+            await asyncio.sleep(3600)
+        return self._answer(200 if done else 412, rows=[])
+
+    def _commit(self, body: dict) -> bool:
+        for row in body["expected_rev"]:
+            _, version = self.rows.get((row["table"], row["key"]), (b"", 0))
+            if version != row["ver"]:
+                return False
+        self.version += 1
+        for row in body["puts"]:
+            self._store(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in body["remove"]:
+            self._store(row["table"], row["key"], None)
+        return True
+
+
+def _render(table: str, key: str, value: bytes | None, version: int) -> dict:
+    row: dict = {"table": table, "part": "", "key": key, "ver": version}
+    if value is None:
+        row["deleted"] = True
+    else:
+        row["value"] = base64.b64encode(value).decode()
+    return row
+
+
+async def open_row_store(address: Address) -> tuple[RowStoreApp, Listener]:
+    """Serve an empty store at `address` in this event loop."""
+    app = RowStoreApp()
+    listener = Listener(app.serve, lambda: LIMITS, lambda status: None)
+    await listener.open(address.ip, address.port)
+    return app, listener
