--- a/cactusshed/policy/quarantine.py
+++ b/cactusshed/policy/quarantine.py
@@ -6,6 +6,9 @@
 
 EXPIRE_SECONDS = 300.0
 STRIKES_TO_REFUSE = 2
+STRIKES_TO_CONDEMN = 3
+"""Strikes that suffice though other requests were in flight each time: that an
+innocent one is there at three deaths, and never answered between, is unlikely."""
 MAX_PRINTS = 4_096
 
 
@@ -67,6 +70,7 @@
         if not live:
             return CLEAR
         guilty = len(live) >= STRIKES_TO_REFUSE and any(s.alone for s in live)
+        guilty = guilty or len(live) >= STRIKES_TO_CONDEMN
         return Suspicion(alone=True, refuse=guilty)
 
     def is_empty(self) -> bool:
--- /dev/null
+++ b/tests/meshes.py
@@ -0,0 +1,99 @@
+"""Helpers for tests of the mesh: calls, a gate before a stand-in target, nodes."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import attrs
+
+from cactusshed.mesh.evidence import EvidenceBook
+from cactusshed.mesh.frames import Call
+from cactusshed.mesh.gate import Gate
+from cactusshed.mesh.suspects import Suspects
+from cactusshed.mesh.upstream import Pool
+from cactusshed.observe.counters import Counters
+from cactusshed.platform import headers as names
+from cactusshed.policy.quarantine import Quarantine
+from cactusshed.policy.repeats import RepeatBudget
+from standins.meshtarget import open_mesh_target
+
+__all__ = ["make_call", "open_gate", "run_async"]
+
+TEST_SECONDS = 20.0
+"""Far above what any test needs; a test that hangs fails."""
+
+
+def run_async(work):
+    """Run a coroutine function with a limit."""
+
+    async def limited():
+        async with asyncio.timeout(TEST_SECONDS):
+            return await work()
+
+    return asyncio.run(limited())
+
+
+def make_call(request_id="r1", path="/a/", **fields):
+    """Return a call as a first node sends it."""
+    values = {
+        "number": 1,
+        "request_id": request_id.encode(),
+        "attempt": 1,
+        "method": b"GET",
+        "path": path.encode(),
+        "headers": [(b"host", b"h"), (names.ATTEMPT_ID, request_id.encode())],
+        "body": b"",
+        "left_ms": 2000,
+        "aim_ms": 1000,
+        "route": "r",
+        "rank": 0,
+        "service": "s",
+        "version": "",
+        "caller": "c",
+        "is_repeatable": True,
+        "is_repeat": False,
+        "may_have_run": False,
+        "is_inner": False,
+        "is_of_repeat": False,
+        "may_wait": True,
+    }
+    return Call(**{**values, **fields})
+
+
+@attrs.define
+class OpenGate:
+    """A gate, its stand-in target and what was asked of its owner."""
+
+    gate: Gate
+    target: object
+    doubts: list
+
+
+@asynccontextmanager
+async def open_gate(slots=2, **fields):
+    """Yield an open, warm gate before a stand-in target."""
+    target = await open_mesh_target(**fields)
+    doubts = []
+    quarantine = Quarantine()
+    gate = Gate(
+        pool=Pool(target.address, names.ATTEMPT_ID),
+        counters=Counters(),
+        budget=RepeatBudget(0.2, 10.0, 50.0),
+        quarantine=quarantine,
+        suspects=Suspects(quarantine),
+        evidence=EvidenceBook(),
+        service="s",
+        count_gates=lambda: 1,
+        on_doubt=lambda: doubts.append(1),
+    )
+    gate.instance = target.instance
+    gate.version = "v1"
+    gate.room.limit = slots
+    gate.set_closure("target-unknown", False)
+    gate.cold.hear(0.0, 0.0)
+    ticking = asyncio.create_task(gate.tick())
+    try:
+        yield OpenGate(gate, target, doubts)
+    finally:
+        ticking.cancel()
+        gate.pool.close()
+        target.close()
--- /dev/null
+++ b/tests/test_mesh_policies.py
@@ -0,0 +1,248 @@
+"""Cold targets, repeats, placement, backpressure and moves: replays of loads."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from cactusshed.policy.backpressure import Backpressure
+from cactusshed.policy.cold import ColdGuard
+from cactusshed.policy.place import Candidate, LoadView, order_candidates
+from cactusshed.policy.ramp import (
+    CLOSING,
+    COMPLETE,
+    RETURNED,
+    RUNNING,
+    Move,
+    advance_move,
+    choose_version,
+    compute_share,
+)
+from cactusshed.policy.repeats import RepeatBudget
+
+RATE, FACTOR, SLACK = 47.0, 1.5, 5.0
+
+
+def play_cold(guard, offered, seconds, start=100.0):
+    """Offer requests evenly and return the times at which they start."""
+    starts = []
+    for number in range(int(offered * seconds)):
+        now = start + number / offered
+        if not guard.is_cold(now) or guard.bucket.count(now) > 0:
+            if guard.is_cold(now):
+                guard.bucket.take(now)
+            starts.append(now)
+    return starts
+
+
+@pytest.fixture
+def guard():
+    """Return the guard of a target that nothing is known of."""
+    guard = ColdGuard()
+    guard.adjust(RATE, FACTOR, SLACK)
+    guard.doubt(100.0)
+    return guard
+
+
+def test_cold_target_never_gets_more_than_the_bound(guard):
+    """Full traffic on a cold target stays below rate * factor + slack."""
+    starts = play_cold(guard, 400, 5)
+    most = max(sum(s <= t < s + 1 for t in starts) for s in starts)
+    assert_that(most, LessThan(RATE * FACTOR + SLACK))
+    assert_that(len(starts), GreaterThan(5 * RATE))
+
+
+def test_target_stays_cold_until_it_says_otherwise(guard):
+    """Only the target's own word ends the doubt."""
+    assert_that(guard.is_cold(1e6), Equals(True))
+    guard.hear(2.0, 200.0)
+    assert_that([guard.is_cold(201.9), guard.is_cold(202.1)], Equals([True, False]))
+    guard.doubt(300.0)
+    assert_that(guard.is_cold(300.0), Equals(True))
+
+
+def test_tokens_of_a_warm_time_are_not_kept(guard):
+    """A target that turns cold again starts without saved tokens."""
+    guard.hear(0.0, 100.0)
+    guard.bucket.fill(200.0)
+    guard.hear(3.0, 200.0)
+    assert_that(guard.bucket.count(200.0), Equals(0))
+
+
+@pytest.mark.parametrize("has_run", [False, True])
+def test_repeats_over_all_gates_stay_within_the_budget(has_run):
+    """Four gates whose every request fails spend no more than the fleet may."""
+    ratio, window, slack, gates = 0.2, 10.0, 58.0, 4
+    budgets = [RepeatBudget(ratio, window, slack) for _ in range(gates)]
+    passed = []
+    for step in range(3000):
+        now = step / 100
+        for budget in budgets:
+            budget.note_first(now, is_of_repeat=False)
+            if budget.take(gates, now, has_run=has_run):
+                passed.append(now)
+    for begin in range(20):
+        count = sum(begin <= at < begin + window for at in passed)
+        firsts = 100 * gates * window
+        assert_that(count, LessThan(ratio * firsts + slack))
+    assert_that(len(passed), GreaterThan(0.02 * 3000 * gates))
+
+
+def test_calls_of_repeated_runs_use_up_the_budget():
+    """They are let in, and leave less for repeats."""
+    budget = RepeatBudget(0.2, 10.0, 0.0)
+    for number in range(100):
+        budget.note_first(0.0, is_of_repeat=number < 50)
+    assert_that(budget.take(1, 0.0, has_run=False), Equals(False))
+
+
+def make_candidate(name, busy=0, mean=0.1, *, far=False, at=100.0, failures=0.0):
+    """Return a candidate with ten slots and a fresh report."""
+    view = LoadView()
+    view.report(busy, 10, mean, at)
+    view.failures = failures
+    return Candidate(name, view, far, False)
+
+
+def choose(candidates, left=0.3, usual=0.1):
+    """Return how often each candidate comes first of a hundred times."""
+    rng = random.Random(5)
+    firsts = [
+        order_candidates(candidates, usual, left, 100.0, rng)[0][1].name
+        for _ in range(100)
+    ]
+    return {name: firsts.count(name) for name in sorted(set(firsts))}
+
+
+def test_own_data_centre_is_used_while_it_costs_no_time():
+    """A little slower but near beats far."""
+    chosen = choose([make_candidate("near", 5), make_candidate("far", far=True)])
+    assert_that(chosen, Equals({"near": 100}))
+
+
+def test_a_full_target_nearby_is_passed_over():
+    """Waiting would miss the aim."""
+    chosen = choose([make_candidate("near", 40), make_candidate("far", far=True)])
+    assert_that(chosen, Equals({"far": 100}))
+
+
+def test_a_slow_target_is_passed_over():
+    """A target twelve times slower than the others gets nothing."""
+    slow = make_candidate("slow", mean=1.2)
+    chosen = choose([slow, make_candidate("fast", far=True)])
+    assert_that(chosen, Equals({"fast": 100}))
+
+
+def test_a_failing_target_is_passed_over():
+    """So is one that fails half of its requests while it is healthy."""
+    grey = make_candidate("grey", failures=0.5)
+    chosen = choose([grey, make_candidate("good", far=True)])
+    assert_that(chosen, Equals({"good": 100}))
+
+
+def test_a_burst_from_one_node_is_spread_though_reports_are_old():
+    """Own calls since the last report count as load."""
+    candidates = [make_candidate(str(n)) for n in range(4)]
+    rng = random.Random(5)
+    for _ in range(40):
+        _, chosen = order_candidates(candidates, 0.1, 0.3, 100.0, rng)[0]
+        chosen.view.own += 1
+        chosen.view.sent_since += 1
+    own = [candidate.view.own for candidate in candidates]
+    assert_that(max(own), LessThan(13))
+
+
+def play_pressure(pressure, seconds, capacity, start, demand=100.0):
+    """Admit requests that make a call each; `capacity` calls a second find room."""
+    served = admitted = 0
+    room = 0.0
+    for step in range(int(seconds * 1000)):
+        now = start + step / 1000
+        pressure.step(now)
+        room = min(3.0, room + capacity / 1000)
+        if step % int(1000 / demand):
+            continue
+        if pressure.rate is not None and pressure.count_tokens(now) < 1:
+            continue
+        pressure.note_start(now)
+        admitted += 1
+        refused = room < 1
+        room -= not refused
+        served += not refused
+        pressure.note_call(refused)
+    return served, admitted
+
+
+def test_requests_are_held_back_while_their_calls_find_no_room():
+    """With room for a third of the calls, few admitted requests are wasted."""
+    pressure = Backpressure()
+    play_pressure(pressure, 2.0, 33.0, 0.0)
+    served, admitted = play_pressure(pressure, 10.0, 33.0, 2.0)
+    assert_that(served, GreaterThan(0.75 * 330))
+    assert_that(admitted - served, LessThan(0.25 * admitted))
+
+
+def test_backpressure_is_lifted_within_two_seconds():
+    """Once the called service has room again, everything is admitted."""
+    pressure = Backpressure()
+    play_pressure(pressure, 3.0, 33.0, 0.0)
+    play_pressure(pressure, 2.0, 1000.0, 3.0)
+    served, admitted = play_pressure(pressure, 1.0, 1000.0, 5.0)
+    assert_that([served, admitted], Equals([100, 100]))
+
+
+def make_move(**fields):
+    """Return a move of sixteen seconds."""
+    return Move("s", "v2", "v1", 1, 16.0, **fields)
+
+
+def advance(move, elapsed, reason="", has_targets=True, is_drained=False):
+    """Return the move after `elapsed` seconds."""
+    return advance_move(
+        move,
+        elapsed,
+        reason=reason,
+        has_targets=has_targets,
+        is_drained=is_drained,
+    )
+
+
+def test_good_version_is_complete_before_the_deadline():
+    """Steps end in time, and not before the old version is drained."""
+    move, elapsed = make_move(), 0.0
+    while not move.has_ended and elapsed < 16:
+        elapsed += 0.25
+        move = advance(move, elapsed, is_drained=elapsed > 13)
+    assert_that([move.state, elapsed < 14], Equals([COMPLETE, True]))
+
+
+def test_bad_version_that_shows_late_has_got_less_than_a_tenth():
+    """Up to the last step the new version's part of all requests is small."""
+    steps = 1000
+    shares = [compute_share(n / steps) for n in range(steps)]
+    before_full = sum(share for share in shares if share < 1.0) / steps
+    assert_that(before_full, LessThan(0.1))
+
+
+def test_bad_version_is_given_up_at_once_and_for_good():
+    """No later step brings it back."""
+    move = advance(make_move(share=0.4), 9.0, reason="failures")
+    assert_that(move.state, Equals(RETURNED))
+    assert_that(advance(move, 12.0), Equals(move))
+    assert_that(choose_version(move, random.Random(1)), Equals("v1"))
+
+
+def test_move_waits_for_targets_of_the_new_version():
+    """Without them everything stays with the old one."""
+    move = advance(make_move(), 12.0, has_targets=False)
+    assert_that([move.state, move.share], Equals([RUNNING, 0.0]))
+
+
+def test_closing_move_sends_nothing_to_the_old_version():
+    """The old targets end as soon as the move is complete."""
+    move = advance(make_move(), 12.5)
+    assert_that(move.state, Equals(CLOSING))
+    rng = random.Random(1)
+    chosen = {choose_version(move, rng) for _ in range(100)}
+    assert_that(chosen, Equals({"v2"}))
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,145 @@
+"""Admission under overload: replays of the load patterns that it answers."""
+
+import heapq
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from cactusshed.policy.room import Room, Standing, Ticket
+
+WORK = 0.1
+AIM = 0.3
+DEADLINE = 0.8
+
+
+def make_ticket(now, aim=AIM, deadline=DEADLINE, **fields):
+    """Return a ticket of a request that arrives at `now`."""
+    return Ticket(now + deadline, now + aim, **fields)
+
+
+def replay(room, arrivals, work=WORK):
+    """Play arrivals of (time, ticket) and return each ticket's end, or None."""
+    ends = {}
+    events = [(at, 0, n, ticket) for n, (at, ticket) in enumerate(arrivals)]
+    heapq.heapify(events)
+    number = len(events)
+
+    def start(ticket, now):
+        nonlocal number
+        number += 1
+        heapq.heappush(events, (now + work, 1, number, ticket))
+
+    while events:
+        now, kind, _, ticket = heapq.heappop(events)
+        if kind == 0:
+            room.offer(ticket, now, None, 0)
+            if ticket.standing == Standing.RUNNING:
+                start(ticket, now)
+        else:
+            room.leave(ticket, now, is_sample=True)
+            ends[id(ticket)] = now
+            for waiting in room.admit(now, None, 0):
+                if waiting.standing == Standing.RUNNING:
+                    start(waiting, now)
+    return [ends.get(id(ticket)) for _, ticket in arrivals]
+
+
+def draw_arrivals(rng, per_second, seconds, **fields):
+    """Return Poisson arrivals."""
+    now, arrivals = 0.0, []
+    while now < seconds:
+        now += rng.expovariate(per_second)
+        arrivals.append((now, make_ticket(now, **fields)))
+    return arrivals
+
+
+@pytest.fixture
+def room():
+    """Return a room of ten slots that knows how long work takes."""
+    room = Room(10)
+    for _ in range(50):
+        ticket = make_ticket(0.0)
+        room.offer(ticket, 0.0, None, 0)
+        room.leave(ticket, WORK, is_sample=True)
+    return room
+
+
+def test_overload_keeps_most_answers_within_their_aim(room, rng):
+    """At half as much again as the slots serve, what starts is in time."""
+    arrivals = draw_arrivals(rng, 150, 10)
+    ends = replay(room, arrivals)
+    served = [(end, t) for end, (_, t) in zip(ends, arrivals, strict=True) if end]
+    in_aim = sum(end <= ticket.aim for end, ticket in served)
+    assert_that(in_aim, GreaterThan(0.95 * 10 * 100))
+    assert_that(len(served) - in_aim, LessThan(0.02 * len(served)))
+
+
+def test_what_is_refused_under_overload_is_refused_on_arrival(room, rng):
+    """Few requests wait only to be refused."""
+    arrivals = draw_arrivals(rng, 150, 10)
+    replay(room, arrivals)
+    refused = [t for _, t in arrivals if t.standing == Standing.REFUSED]
+    late = [t for t in refused if t.refusal.code == "no-time"]
+    assert_that(len(refused), GreaterThan(300))
+    assert_that(len(late), LessThan(0.05 * len(refused)))
+
+
+def test_urgent_requests_are_served_before_others(room, rng):
+    """Under overload the less urgent kind is refused, not the urgent one."""
+    urgent = draw_arrivals(rng, 60, 10, rank=0)
+    others = draw_arrivals(rng, 90, 10, rank=2)
+    ends = replay(room, [*urgent, *others])
+    served = sum(end is not None for end in ends[: len(urgent)])
+    assert_that(served, GreaterThan(0.97 * len(urgent)))
+
+
+def test_call_of_a_target_goes_before_an_equally_urgent_request(room):
+    """The caller of an inner call holds a slot elsewhere."""
+    running = [make_ticket(0.0) for _ in range(10)]
+    for ticket in running:
+        room.offer(ticket, 0.0, None, 0)
+    outer, inner = make_ticket(0.0), make_ticket(0.0, is_inner=True)
+    room.offer(outer, 0.0, None, 0)
+    room.offer(inner, 0.0, None, 0)
+    room.leave(running[0], WORK, is_sample=True)
+    assert_that(list(room.admit(WORK, None, 0)), Equals([inner]))
+
+
+def test_refusal_says_when_room_is_expected(room):
+    """The advice grows with the queue."""
+    for _ in range(10):
+        room.offer(make_ticket(0.0), 0.0, None, 0)
+    first = make_ticket(0.0, may_wait=False)
+    room.offer(first, 0.0, None, 0)
+    for _ in range(15):
+        room.offer(make_ticket(0.0), 0.0, None, 0)
+    second = make_ticket(0.0, may_wait=False)
+    room.offer(second, 0.0, None, 0)
+    assert_that(first.refusal.code, Equals("target-busy"))
+    advice = second.refusal.retry_after
+    assert_that(advice, GreaterThan(5 * first.refusal.retry_after))
+
+
+def test_closing_refuses_what_waits_and_what_comes(room):
+    """A closed room lets nothing in, with the reason."""
+    for _ in range(10):
+        room.offer(make_ticket(0.0), 0.0, None, 0)
+    waiting, late = make_ticket(0.0), make_ticket(0.0)
+    room.offer(waiting, 0.0, None, 0)
+    assert_that(room.close("target-left"), Equals([waiting]))
+    room.offer(late, 0.0, None, 0)
+    codes = [waiting.refusal.code, late.refusal.code]
+    assert_that(codes, Equals(["target-left"] * 2))
+
+
+def test_request_that_can_not_end_in_time_never_starts(room):
+    """A waiting request without time for its work is refused as it expires."""
+    for _ in range(10):
+        room.offer(make_ticket(0.0), 0.0, None, 0)
+    ticket = make_ticket(0.0, aim=0.25, deadline=0.25)
+    room.offer(ticket, 0.0, None, 0)
+    assert_that(ticket.standing, Equals(Standing.WAITING))
+    assert_that(list(room.expire(0.21)), Equals([ticket]))
+    assert_that(ticket.refusal.code, Equals("no-time"))
+    assert_that(room.waiting, Equals(0))
