A node that ends turns requests away after 2.9 s; settings are reloaded; tasks restart

Ruled out: the time that answers took. From 2.9 s on it answers 503, so what was taken ends within the grace.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -24,6 +24,8 @@
 """Time past the deadline for a gate's own verdict to arrive."""
 START_RETRY_SECONDS = 0.3
 """Advice of a node that has no configuration yet: one read of the store."""
+LEAVING_RETRY_SECONDS = 0.05
+"""Advice of a node that is about to end: another one has room now."""
 SPREAD = (0.9, 1.4)
 """Factors by which advice is spread, so that clients don't return together."""
 _REPLACED = frozenset(
@@ -66,6 +68,8 @@
     service: str
     moves: Moves
     rng: random.Random = attrs.Factory(random.Random)
+    is_closing: bool = False
+    """Whether only calls of requests that are running here are taken."""
     longest: dict[str, float] = attrs.Factory(dict)
 
     async def serve(self, request: Request) -> Response:
@@ -88,6 +92,9 @@
             self.counters.add("refused_no_id")
             return make_response(400)
         plan = self._make_plan(request, route)
+        if self.is_closing and not plan.call.is_inner:
+            self.counters.add("refused_leaving")
+            return self._refuse(LEAVING_RETRY_SECONDS)
         outcome = await self._run(plan)
         if plan.call.is_inner:
             found_no_room = outcome.result.outcome == NOT_RUN
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -117,6 +117,13 @@
         if member is not None and member.link is not None:
             member.link.close()
 
+    def close(self) -> None:
+        """End all links and stop dialling."""
+        for node in list(self.members):
+            self.forget(node)
+        for link in list(self._accepted):
+            link.close()
+
     def list_up(self, service: str) -> list[Member]:
         """Return the nodes with a live link beside targets of `service`."""
         return [
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import gc
-import signal
-from collections.abc import Coroutine
+
+import attrs
 
 from ..clock import read_monotonic, read_wall
 from ..observe.counters import Counters
 from ..observe.histograms import Histograms
-from ..observe.lines import log_line, open_lines
+from ..observe.lines import log_line
 from ..observe.page import render_page
 from ..platform import headers as names
 from ..platform.boot import Settings
@@ -28,6 +28,7 @@
 from .peers import Member, Peers
 from .records import Records
 from .storekeeper import Storekeeper
+from .supervision import Task, keep_running
 from .suspects import Suspects
 from .table import EMPTY_TABLE
 from .upstream import Pool
@@ -42,6 +43,8 @@
 """Part of the time until SIGKILL that is kept for the end itself."""
 SETTLE_SECONDS = 2.3
 """Time after which clients have noticed that the node is not ready: two probes."""
+LAST_TAKEN_SECONDS = 2.9
+"""Time after which requests are turned away: what came before ends in the grace."""
 POLL_SECONDS = 0.02
 FIRST_PEERS_SECONDS = 0.4
 """Time for the first links of a starting node, before it says it is ready."""
@@ -99,7 +102,6 @@
         )
         self.peers: Peers | None = None
         self.moves: Moves | None = None
-        self.tasks: list[asyncio.Task] = []
 
     # Messages between the parts.
 
@@ -178,14 +180,9 @@
 
     # Start and stop.
 
-    async def run(self) -> None:
-        """Run until SIGTERM, and until what was running has ended."""
+    async def run(self, stop: asyncio.Event) -> None:
+        """Run until `stop` is set, and until what was running has ended."""
         settings = self.settings
-        lines = open_lines(settings.node)
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: log_line("reload-asked"))
         log_line("started", born=self.born, service=settings.service)
         self.peers = Peers(
             self._make_hello,
@@ -223,26 +220,48 @@
             settings.peers, self.inbound.handle, self.inbound.lose
         )
         listeners = await self._open_listeners(callers)
-        for work in self._list_work(listeners):
-            self.tasks.append(asyncio.create_task(work))
+        tasks = [
+            asyncio.create_task(keep_running(work, self.counters))
+            for work in self._list_work(listeners)
+        ]
         gc.freeze()
-        await stop.wait()
-        await self._drain(listeners[0])
-        links.close()
-        log_line("stopped", suppressed=lines.suppressed, dropped=lines.dropped)
+        try:
+            await stop.wait()
+            await self._drain(listeners[0], callers)
+        finally:
+            for task in tasks:
+                task.cancel()
+            for listener in listeners:
+                listener.stop()
+            links.close()
+            self.peers.close()
+            self.store.close()
+        log_line("stopped", version=self.records.table.version)
 
-    def _list_work(self, listeners: list[Listener]) -> list[Coroutine]:
+    def _list_work(self, listeners: list[Listener]) -> list[Task]:
         return [
-            self.keeper.follow(),
-            self.keeper.keep_members(),
-            self.keeper.keep_row(),
-            self.moves.run(),
-            self.announcements.ask(),
-            self.announcements.watch(),
-            self.gate.tick(),
-            self.peers.sweep(),
-            *(listener.sweep() for listener in listeners),
+            self.keeper.follow,
+            self.keeper.keep_members,
+            self.keeper.keep_row,
+            self.moves.run,
+            self.announcements.ask,
+            self.announcements.watch,
+            self.gate.tick,
+            self.peers.sweep,
+            *(listener.sweep for listener in listeners),
+        ]
+
+    def reload(self, settings: Settings) -> None:
+        """Take over settings that changed; addresses of its own stay."""
+        before, self.settings = self.settings, settings
+        changed = [
+            field.name
+            for field in attrs.fields(Settings)
+            if getattr(before, field.name) != getattr(settings, field.name)
         ]
+        log_line("reloaded", changed=changed)
+        self.store.move(settings.store)
+        self._apply_records()
 
     async def _open_listeners(self, callers: Callers) -> list[Listener]:
         settings = self.settings
@@ -272,25 +291,26 @@
             return Response(200, [(b"content-type", b"text/plain")], page.encode())
         return make_response(404)
 
-    async def _drain(self, callers: Listener) -> None:
+    async def _drain(self, listener: Listener, callers: Callers) -> None:
         """Send clients and peers elsewhere, and end what is running."""
         started = read_monotonic()
         self.is_leaving = True
-        callers.is_closing = True
+        listener.is_closing = True
         log_line("leaving", running=self.gate.room.running)
         self._tell()
         end = started + self.settings.bounds.grace - STOP_MARGIN_SECONDS
         while read_monotonic() < end:
             spent = read_monotonic() - started
+            callers.is_closing = spent >= LAST_TAKEN_SECONDS
             if spent >= SETTLE_SECONDS:
-                callers.close_idle()
-                if not self._is_busy(callers):
+                listener.close_idle()
+                if not self._is_busy(listener):
                     break
             await asyncio.sleep(POLL_SECONDS)
-        callers.stop()
-        callers.close_idle()
+        listener.stop()
+        listener.close_idle()
         if self.announcements.state.has_left:
             await self.keeper.remove_row()
 
-    def _is_busy(self, callers: Listener) -> bool:
-        return bool(callers.count_busy() or self.inbound.running)
+    def _is_busy(self, listener: Listener) -> bool:
+        return bool(listener.count_busy() or self.inbound.running)
