Tests of the whole path in one loop; a leave is remembered by both greetings

The tests found: a node that starts again while the store is away was told of its target's leave only in the answer to its own greeting, after the other node had overwritten what it knew (test_acknowledged_leave_binds_while_the_store_is_away failed first); connections just made were closed at a node's end with their request unread (test_ending_node_... failed with 22 cuts).

--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -312,10 +312,13 @@
             for connection in list(self.connections):
                 _check_time(connection, now, limits)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is on its way."""
+    def close_idle(self, least: float = 0.0) -> None:
+        """Close the connections that have been idle for `least` seconds."""
+        now = self.loop.time()
         for connection in list(self.connections):
-            if not connection.is_busy and not connection.has_unread:
+            if connection.is_busy or connection.has_unread:
+                continue
+            if now - connection.idle_since >= least:
                 connection.close_when_idle()
 
     def count_busy(self) -> int:
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -216,14 +216,8 @@
 
     async def run(self) -> None:
         """Carry out orders until cancelled."""
-        is_loaded = False
+        await self._load()
         while True:
-            try:
-                if not is_loaded:
-                    await self._load()
-                    is_loaded = True
-            except CactusError as error:
-                log_line("moves-not-read", cause=str(error))
             await asyncio.sleep(STEP_SECONDS)
             self.apply()
             now = read_monotonic()
@@ -466,8 +460,19 @@
             send(MoveNews(_encode(known.move), known.version))
 
     async def _load(self) -> None:
-        """Read the moves that the store knows, once."""
-        page = await self.store.read_table(OWN_TABLE, PREFIX)
+        """Read the moves that the store knows, once it can be read.
+
+        Meanwhile other nodes tell what they know of moves.
+        """
+        while True:
+            try:
+                page = await self.store.read_table(OWN_TABLE, PREFIX)
+                break
+            except CactusError:
+                # The feed's task logs that the store is away.
+                self.apply()
+                self._report()
+                await asyncio.sleep(STEP_SECONDS)
         for row in page.rows:
             move = _decode(row.value)
             if move is not None:
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -42,6 +42,8 @@
     service: str = ""
     born: int = 0
     state: TargetState = attrs.Factory(TargetState)
+    remembered: TargetState = attrs.Factory(TargetState)
+    """The last state in which the node knew its target, for its next life."""
     revision: int = 0
     version: int = 0
     is_leaving: bool = False
@@ -163,7 +165,7 @@
         link.peer = member.node
         member.link = link
         self._by_link[link] = member
-        link.send(self._make_hello(member.state))
+        link.send(self._make_hello(member.remembered))
         try:
             async with asyncio.timeout(HELLO_SECONDS):
                 await member.greeted.wait()
@@ -220,12 +222,13 @@
 
     def _take_hello(self, link: Link, hello: Hello) -> None:
         link.peer = hello.node
+        self._on_remembered(hello)
         member = self._by_link.get(link)
         if member is None:
             self._accepted.add(link)
             self.add(hello.node, hello.address)
             member = self.members.get(hello.node)
-            remembered = member.state if member else None
+            remembered = member.remembered if member else None
             link.send(self._make_hello(remembered))
             if member is not None and not member.is_up:
                 self._update(member, hello)
@@ -235,7 +238,6 @@
             link.close()
             self.add(hello.node, str(member.address))
             return
-        self._on_remembered(hello)
         self._update(member, hello)
         member.is_up = True
         member.is_leaving = False
@@ -250,6 +252,8 @@
         member.data_centre = hello.data_centre
         member.service = hello.service
         member.state = hello.state
+        if hello.state.name:
+            member.remembered = hello.state
         member.revision = hello.revision
         member.version = hello.version
         member.seen = read_monotonic()
@@ -259,6 +263,8 @@
         if member is None:
             return
         member.state = news.state
+        if news.state.name:
+            member.remembered = news.state
         member.revision = max(member.revision, news.revision)
         member.version = max(member.version, news.version)
         member.is_leaving = news.is_leaving
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -43,6 +43,10 @@
 """Part of the time until SIGKILL that is kept for the end itself."""
 SETTLE_SECONDS = 2.3
 """Time after which clients have noticed that the node is not ready: two probes."""
+FRESH_SECONDS = 0.1
+"""Age below which a connection without a request may be about to bring one."""
+LAST_ANSWERS_SECONDS = 0.3
+"""Time for the last refusals, out of the margin before SIGKILL."""
 LAST_TAKEN_SECONDS = 2.9
 """Time after which requests are turned away: what came before ends in the grace."""
 POLL_SECONDS = 0.02
@@ -303,11 +307,17 @@
             spent = read_monotonic() - started
             callers.is_closing = spent >= LAST_TAKEN_SECONDS
             if spent >= SETTLE_SECONDS:
-                listener.close_idle()
+                listener.close_idle(FRESH_SECONDS)
                 if not self._is_busy(listener):
                     break
             await asyncio.sleep(POLL_SECONDS)
+        # What has connected already is still turned away, not cut.
+        callers.is_closing = True
         listener.stop()
+        end = min(end, read_monotonic()) + LAST_ANSWERS_SECONDS
+        while read_monotonic() < end and listener.connections:
+            listener.close_idle(FRESH_SECONDS)
+            await asyncio.sleep(POLL_SECONDS)
         listener.close_idle()
         if self.announcements.state.has_left:
             await self.keeper.remove_row()
--- /dev/null
+++ b/standins/meshfleet.py
@@ -0,0 +1,281 @@
+"""Nodes of the mesh in one event loop, with stand-in store and targets."""
+
+import asyncio
+import itertools
+import socket
+
+import attrs
+import msgspec
+
+from cactusshed.clock import read_wall
+from cactusshed.mesh.sidecar import Sidecar
+from cactusshed.mesh.upstream import Answer, NotSent, Upstream, open_upstream
+from cactusshed.options import Address
+from cactusshed.platform.boot import Bounds, Settings
+
+from .meshtarget import MeshTarget, open_mesh_target
+from .rowstore import RowStoreApp, open_row_store
+
+__all__ = [
+    "MeshFleet",
+    "MeshNode",
+    "ask",
+    "make_document",
+    "open_client",
+    "render",
+    "wait_for",
+]
+
+BOUNDS = Bounds(
+    drain=2.0,
+    grace=6.0,
+    apply=2.0,
+    rollback=5.0,
+    retry_ratio=0.2,
+    retry_window=10.0,
+    retry_slack=50.0,
+    exposed_share=0.1,
+    exposed_slack=50.0,
+    cold_factor=1.5,
+    cold_slack=5.0,
+)
+HOST = "shop.example"
+WAIT_SECONDS = 10.0
+POLL_SECONDS = 0.01
+
+
+def make_document(version: int, routes: dict[str, dict], services: list[str]) -> dict:
+    """Return a configuration document; `routes` maps prefixes to changes."""
+    rules = [
+        {
+            "name": f"r{number}",
+            "kind": fields.get("kind", "safe"),
+            "target_latency": "300ms",
+            "priority": fields.get("priority", 0),
+            "match": {"prefix": prefix},
+            "action": {
+                "service": fields.get("service", services[0]),
+                "timeout": fields.get("timeout", "1000ms"),
+                "attempts": 2,
+            },
+        }
+        for number, (prefix, fields) in enumerate(routes.items())
+    ]
+    clusters = [
+        {
+            "name": name,
+            "health_path": "/healthz",
+            "max_conns": 100,
+            "cold_start": "3s",
+            "cold_per_s": 50.0,
+        }
+        for name in services
+    ]
+    limits = {
+        "max_header_bytes": 4096,
+        "max_body_bytes": 65536,
+        "header_timeout": "500ms",
+        "idle_timeout": "5s",
+    }
+    return {
+        "version": version,
+        "limits": limits,
+        "listeners": [{"host": HOST, "rules": rules}],
+        "clusters": clusters,
+    }
+
+
+def find_port() -> int:
+    """Return a free port of loopback."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@attrs.define(eq=False)
+class MeshNode:
+    """One node and the target beside it."""
+
+    settings: Settings
+    target: MeshTarget
+    sidecar: Sidecar
+    stop: asyncio.Event
+    task: asyncio.Task
+    beats: int = 0
+
+    async def announce(self, state: str = "ready", **fields) -> int:
+        """Send a heartbeat of the target and return the status."""
+        self.beats += 1
+        body = {
+            "service": self.settings.service,
+            "address": str(self.target.address),
+            "zone": self.settings.data_centre,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold_left": "0ms",
+            "seq": self.beats,
+            "born": 1000,
+            **fields,
+        }
+        return await self.tell("instances.heartbeat", msgspec.json.encode(body))
+
+    async def tell(self, call: str, body: bytes = b"{}") -> int:
+        """Send one call of the target and return the status."""
+        path = f"/cactusshed/rpc?call={call}&of={self.target.instance}"
+        answer = await ask(self.settings.announcements, b"POST", path, {}, body)
+        return answer.status
+
+    async def request(self, path: str, method: bytes = b"GET", **headers) -> Answer:
+        """Send a request as a client does."""
+        return await ask(self.settings.callers, method, path, headers)
+
+    async def is_ready(self) -> bool:
+        """Return what the node says of itself."""
+        answer = await ask(self.settings.probes, b"GET", "/cactusshed/readyz", {})
+        return answer.status == 200
+
+    async def is_ready_soon(self) -> bool:
+        """Return whether the node listens and says that it is ready."""
+        try:
+            return await self.is_ready()
+        except NotSent:
+            return False
+
+    async def end(self) -> None:
+        """Stop the node as SIGTERM does and wait for its end."""
+        self.stop.set()
+        await self.task
+
+    async def kill(self) -> None:
+        """End the node at once, as SIGKILL does."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+_ids = itertools.count(1)
+
+
+async def ask(
+    address: Address, method: bytes, path: str, headers: dict, body: bytes = b""
+) -> Answer:
+    """Send one request on a connection of its own and return its answer."""
+    upstream = await open_upstream(address)
+    try:
+        return await upstream.exchange(render(method, path, headers, body))
+    finally:
+        upstream.abort()
+
+
+def render(method: bytes, path: str, headers: dict, body: bytes = b"") -> bytes:
+    """Return the bytes of a client's request."""
+    wanted = {
+        "x-attempt-id": f"c{next(_ids)}",
+        "x-deadline-ms": "1000",
+        "host": HOST,
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    lines = [b"%s %s HTTP/1.1" % (method, path.encode())]
+    lines.extend(f"{name}: {value}".encode() for name, value in wanted.items())
+    if method != b"GET":
+        lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+async def open_client(node: MeshNode) -> Upstream:
+    """Return a client connection to a node."""
+    return await open_upstream(node.settings.callers)
+
+
+class MeshFleet:
+    """A store and the nodes that a test starts."""
+
+    def __init__(self, store: RowStoreApp, listener) -> None:
+        """Start without nodes."""
+        self.store = store
+        self.address: Address | None = None
+        self.nodes: list[MeshNode] = []
+        self._listener = listener
+
+    @classmethod
+    async def open(cls) -> "MeshFleet":
+        """Return a fleet with its store open."""
+        address = Address("127.0.0.1", find_port())
+        store, listener = await open_row_store(address)
+        fleet = cls(store, listener)
+        fleet.address = address
+        return fleet
+
+    async def start(self, name: str, service: str = "a", **target) -> MeshNode:
+        """Start a node beside a target of `service`."""
+        beside = await open_mesh_target(instance=f"i-{name}", **target)
+        ports = [Address("127.0.0.1", find_port()) for _ in range(4)]
+        settings = Settings(
+            node=name,
+            data_centre=f"zone-{name[0]}",
+            region="r",
+            service=service,
+            callers=ports[0],
+            peers=ports[1],
+            probes=ports[2],
+            announcements=ports[3],
+            target=beside.address,
+            store=self.address,
+            heartbeat=1.5,
+            memory_bytes=300 << 20,
+            row_bytes=1 << 16,
+            bounds=BOUNDS,
+        )
+        return await self.run(settings, beside)
+
+    async def run(self, settings: Settings, target: MeshTarget) -> MeshNode:
+        """Start a node with `settings`, also one that ran before."""
+        sidecar = Sidecar(settings)
+        sidecar.born = int(read_wall() * 1e6)
+        stop = asyncio.Event()
+        task = asyncio.create_task(sidecar.run(stop))
+        node = MeshNode(settings, target, sidecar, stop, task)
+        self.nodes.append(node)
+        return node
+
+    async def start_again(self, node: MeshNode) -> MeshNode:
+        """Start a node that has ended, beside the target that lives on."""
+        again = await self.run(node.settings, node.target)
+        again.beats = node.beats
+        return again
+
+    async def start_open(self, *names: str, service: str = "a") -> list[MeshNode]:
+        """Start nodes, announce their targets, and wait until all know all."""
+        nodes = [await self.start(name, service) for name in names]
+        for node in nodes:
+            await wait_for(node.is_ready_soon)
+            await node.announce()
+        await wait_for(lambda: self.all_know_all(nodes))
+        return nodes
+
+    def all_know_all(self, nodes: list[MeshNode]) -> bool:
+        """Return whether every node has an open link to every other's target."""
+        return all(
+            sum(m.is_up and m.state.is_open for m in n.sidecar.peers.members.values())
+            >= len(nodes) - 1
+            for n in nodes
+        )
+
+    async def close(self) -> None:
+        """End all nodes, targets and the store."""
+        for node in self.nodes:
+            await node.kill()
+            node.target.close()
+        self._listener.stop()
+
+
+async def wait_for(check) -> None:
+    """Wait until `check` returns true, or fail after some seconds."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while True:
+            result = check()
+            if asyncio.iscoroutine(result):
+                result = await result
+            if result:
+                return
+            await asyncio.sleep(POLL_SECONDS)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -58,6 +58,8 @@
         """Drop the changes that the feed could resume from."""
         self.forgotten = self.version
         self.history.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     async def serve(self, request: Request) -> Response:
         """Serve one call."""
@@ -92,11 +94,11 @@
 
     async def _feed(self, fields: dict) -> Response:
         after = int(fields["after"])
-        if after < self.forgotten:
-            return make_response(410)
         loop = asyncio.get_running_loop()
         end = loop.time() + int(fields["wait_ms"]) / 1000
         while True:
+            if after < self.forgotten:
+                return make_response(410)
             newest = {
                 (table, key): (value, version)
                 for table, key, value, version in self.history
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,418 @@
+"""The whole path on the users' platform: nodes, store, targets and clients."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from cactusshed.mesh.upstream import UpstreamFailed
+from standins.meshfleet import (
+    MeshFleet,
+    make_document,
+    open_client,
+    render,
+    wait_for,
+)
+
+from .meshes import run_async
+
+ROUTES = {"/read/": {}, "/write/": {"kind": "unsafe"}}
+
+
+@asynccontextmanager
+async def open_fleet(*names, service="a"):
+    """Yield a fleet in force, and its nodes."""
+    fleet = await MeshFleet.open()
+    fleet.store.put_json("op", "config", make_document(1, ROUTES, ["a", "b"]))
+    try:
+        yield fleet, await fleet.start_open(*names, service=service)
+    finally:
+        await fleet.close()
+
+
+def test_nodes_that_start_together_find_each_other():
+    """Eight nodes at once, each with a link to every other."""
+
+    async def work():
+        names = [f"n{number}" for number in range(8)]
+        async with open_fleet(*names) as (fleet, nodes):
+            return fleet.all_know_all(nodes)
+
+    assert_that(run_async(work), Equals(True))
+
+
+def test_request_reaches_a_target_beside_another_node():
+    """The caller's service is the first node's, whatever was sent."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, _):
+            first = await fleet.start("n2", "b")
+            await wait_for(first.is_ready_soon)
+            await wait_for(lambda: first.sidecar.peers.list_up("a"))
+            answer = await first.request("/read/x", x_caller_service="forged")
+            headers = fleet.nodes[0].target.seen[0][1]
+            return answer.status, answer.body, headers[b"x-caller-service"]
+
+    assert_that(run_async(work), Equals((200, b"done", b"b")))
+
+
+def test_node_without_configuration_is_not_ready_and_promises_not_run():
+    """It answers 503, never 404."""
+
+    async def work():
+        fleet = await MeshFleet.open()
+        try:
+            node = await fleet.start("n1")
+            await wait_for(lambda: node.sidecar.keeper.has_asked.is_set())
+            answer = await node.request("/read/x")
+            return await node.is_ready(), answer.status
+        finally:
+            await fleet.close()
+
+    assert_that(run_async(work), Equals((False, 503)))
+
+
+def test_changes_follow_and_never_go_back():
+    """A removed route answers 404, an added one is served."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            document = make_document(7, {"/new/": {}}, ["a"])
+            fleet.store.put_json("op", "config", document)
+            await wait_for(lambda: node.sidecar.records.table.version == 7)
+            fleet.store.put_json("op", "config", make_document(5, ROUTES, ["a"]))
+            await asyncio.sleep(0.1)
+            new, old = await node.request("/new/x"), await node.request("/read/x")
+            return new.status, old.status
+
+    assert_that(run_async(work), Equals((200, 404)))
+
+
+def test_node_that_the_store_turns_away_follows_another_node():
+    """One node's store is silent; the change still reaches it."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (fleet, (cut, other)):
+            cut.sidecar.store.move(cut.settings.target)
+            document = make_document(7, {"/new/": {}}, ["a"])
+            fleet.store.put_json("op", "config", document)
+            fleet.store.put_json("op", "evacuate/zone-x", {})
+            await wait_for(lambda: cut.sidecar.records.table.version == 7)
+            await wait_for(lambda: cut.sidecar.records.evacuated)
+            return other.sidecar.records.table.version
+
+    assert_that(run_async(work), Equals(7))
+
+
+def test_forgotten_history_is_read_anew():
+    """An evacuation that ended in the gap is over."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            fleet.store.put_json("op", "evacuate/zone-x", {})
+            await wait_for(lambda: node.sidecar.records.evacuated)
+            fleet.store.rows.pop(("op", "evacuate/zone-x"))
+            fleet.store.version += 5
+            fleet.store.forget_history()
+            await wait_for(lambda: not node.sidecar.records.evacuated)
+
+    run_async(work)
+
+
+def test_evacuated_data_centre_gets_nothing_and_is_cold_when_taken_back():
+    """The gate there refuses whatever others send it."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            gate = node.sidecar.gate
+            node.target.cold_ms = 3000
+            fleet.store.put_json("op", "evacuate/zone-n", {})
+            await wait_for(lambda: not gate.is_open)
+            refused = await node.request("/read/x")
+            fleet.store.put("op", "evacuate/zone-n", None)
+            await wait_for(lambda: gate.is_open and not gate.cold.is_doubted)
+            from cactusshed.clock import read_monotonic
+
+            return refused.status, gate.cold.is_cold(read_monotonic())
+
+    assert_that(run_async(work), Equals((503, True)))
+
+
+@pytest.mark.parametrize("call", ["draining", "leave"])
+def test_acknowledged_leave_binds_the_next_life_of_the_node(call):
+    """The target lives on beside a node that is killed and starts again."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            if call == "draining":
+                status = await node.announce("draining")
+            else:
+                status = await node.tell("instances.leave")
+            await node.kill()
+            again = await fleet.start_again(node)
+            await wait_for(again.is_ready_soon)
+            await asyncio.sleep(0.3)
+            answer = await again.request("/read/x")
+            return status, answer.status, node.target.runs.total()
+
+    assert_that(run_async(work), Equals((200, 503, 0)))
+
+
+def test_acknowledged_leave_binds_while_the_store_is_away():
+    """Another node remembers it."""
+
+    async def work():
+        async with open_fleet("n1", "m1") as (fleet, (node, other)):
+            fleet.store.fault = "busy"
+            status = await node.announce("draining")
+            await node.kill()
+            again = await fleet.start_again(node)
+            await wait_for(again.is_ready_soon)
+            await wait_for(lambda: again.sidecar.announcements.state.has_left)
+            await asyncio.sleep(0.3)
+            return status, again.sidecar.gate.is_open
+
+    assert_that(run_async(work), Equals((200, False)))
+
+
+def test_node_that_starts_again_opens_without_a_heartbeat():
+    """It asks the target that it knew from before."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            await wait_for(lambda: ("cactusshed", "member/n1") in fleet.store.rows)
+            await wait_for(
+                lambda: node.sidecar.keeper._is_written(
+                    node.sidecar.announcements.state
+                )
+            )
+            await node.kill()
+            again = await fleet.start_again(node)
+            await wait_for(lambda: again.sidecar.gate.is_open)
+            return (await again.request("/read/x")).status
+
+    assert_that(run_async(work), Equals(200))
+
+
+def test_late_heartbeat_of_an_earlier_life_changes_nothing():
+    """Neither an older birth nor a lower number brings a target back."""
+
+    async def work():
+        async with open_fleet("n1") as (_, (node,)):
+            await node.announce(born=2000, seq=10)
+            await node.announce(state="draining", born=1000, seq=50)
+            await node.announce(state="draining", born=2000, seq=9)
+            return node.sidecar.gate.is_open
+
+    assert_that(run_async(work), Equals(True))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"slots": "four"},
+        {"state": "unheard-of"},
+        {"service": "another"},
+        {"cold_left": 3},
+        {"born": 1.5},
+    ],
+)
+def test_announcement_that_can_not_be_read_is_refused(fields):
+    """It names no target to use, and the known one is used on."""
+
+    async def work():
+        async with open_fleet("n1") as (_, (node,)):
+            status = await node.announce(**fields)
+            return status, node.sidecar.gate.is_open
+
+    assert_that(run_async(work), Equals((400, True)))
+
+
+def test_rows_of_other_writers_are_ignored():
+    """Bytes and types that nobody expects harm nothing."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            fleet.store.put("cactusshed", "member/x", b"\xff\x00")
+            fleet.store.put_json("cactusshed", "member/y", {"node": 5})
+            fleet.store.put("op", "rollout/a", b"nonsense")
+            fleet.store.put("op", "config", b'{"version": "high"}')
+            await wait_for(lambda: "rollout/a" in node.sidecar.records.rows)
+            again = await fleet.start("n2")
+            await wait_for(again.sidecar.keeper.has_asked.is_set)
+            return (await node.request("/read/x")).status
+
+    assert_that(run_async(work), Equals(200))
+
+
+def test_client_that_leaves_frees_the_target_through_both_nodes():
+    """A request that may run again ends with its client."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            first = await fleet.start("n2", "b")
+            await wait_for(first.is_ready_soon)
+            await wait_for(lambda: first.sidecar.peers.list_up("a"))
+            node.target.script["/read/x"] = "hang"
+            client = await open_client(first)
+            asking = asyncio.create_task(client.exchange(render(b"GET", "/read/x", {})))
+            await wait_for(lambda: node.target.running)
+            asking.cancel()
+            await wait_for(lambda: node.target.broken_off)
+            return node.sidecar.gate.room.running
+
+    assert_that(run_async(work), Equals(0))
+
+
+def test_unsafe_request_runs_once_when_the_link_breaks():
+    """Its outcome is asked for over a new link."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            node.target.work = 0.4
+            first = await fleet.start("n2", "b")
+            await wait_for(first.is_ready_soon)
+            await wait_for(lambda: first.sidecar.peers.list_up("a"))
+            asking = asyncio.create_task(first.request("/write/x", b"POST"))
+            await wait_for(lambda: node.target.running)
+            first.sidecar.peers.members["n1"].link.close()
+            answer = await asking
+            return answer.status, node.target.runs.total()
+
+    assert_that(run_async(work), Equals((200, 1)))
+
+
+def test_unsafe_request_whose_node_is_gone_is_not_called_refused():
+    """It may have run: 502, and never a second run."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            node.target.work = 0.4
+            first = await fleet.start("n2", "b")
+            await wait_for(first.is_ready_soon)
+            await wait_for(lambda: first.sidecar.peers.list_up("a"))
+            asking = asyncio.create_task(first.request("/write/x", b"POST"))
+            await wait_for(lambda: node.target.running)
+            await node.kill()
+            answer = await asking
+            return answer.status, node.target.runs.total()
+
+    assert_that(run_async(work), Equals((502, 1)))
+
+
+def test_safe_request_is_repeated_at_another_target():
+    """The failed target's answer is not the client's."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, nodes):
+            nodes[0].target.script["/read/x"] = "fail"
+            answers = [await nodes[0].request("/read/x") for _ in range(4)]
+            return [answer.status for answer in answers]
+
+    assert_that(run_async(work), Equals([200] * 4))
+
+
+def test_unsafe_request_is_not_repeated_after_a_run():
+    """The failure is passed on with its seal."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, nodes):
+            for node in nodes:
+                node.target.script["/write/x"] = "fail"
+            answer = await nodes[0].request("/write/x", b"POST")
+            runs = sum(node.target.runs.total() for node in nodes)
+            return answer.status, answer.find(b"x-response-seal"), runs
+
+    assert_that(run_async(work), Equals((500, b"s", 1)))
+
+
+def test_ending_node_serves_what_it_took_and_then_turns_away():
+    """No request that it took after SIGTERM loses its answer."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, (node, _)):
+            node.target.work = 0.2
+            statuses = []
+
+            async def press():
+                while not node.task.done():
+                    try:
+                        answer = await node.request("/read/x")
+                    except UpstreamFailed:
+                        statuses.append("cut")
+                    except Exception:
+                        return
+                    else:
+                        statuses.append(answer.status)
+
+            pressing = [asyncio.create_task(press()) for _ in range(4)]
+            await asyncio.sleep(0.2)
+            ready_before = await node.is_ready()
+            node.stop.set()
+            await asyncio.sleep(0.05)
+            ready_after = await node.is_ready()
+            await node.task
+            await asyncio.gather(*pressing)
+            return ready_before, ready_after, statuses
+
+    before, after, statuses = run_async(work)
+    assert_that((before, after), Equals((True, False)))
+    assert_that(statuses.count("cut"), Equals(0))
+    assert_that(statuses.count(200), GreaterThan(30))
+
+
+def test_good_version_is_brought_in_and_the_operator_reads_so():
+    """The status runs through, and only the new version is used at its end."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (old,)):
+            new = await fleet.start("n2")
+            await wait_for(new.is_ready_soon)
+            await new.announce(version="v2", born=5000)
+            order = {"service": "a", "to": "v2", "duration": "3s"}
+            fleet.store.put_json("op", "rollout/a", order)
+            await wait_for(lambda: ("status", "rollout/a") in fleet.store.rows)
+            first = fleet.store.rows["status", "rollout/a"][0]
+            while b"complete" not in fleet.store.rows["status", "rollout/a"][0]:
+                await old.request("/read/x")
+                await asyncio.sleep(0.01)
+            before = old.target.runs.total()
+            for _ in range(10):
+                await old.request("/read/x")
+            return first, old.target.runs.total() - before
+
+    first, later = run_async(work)
+    assert_that((b"running" in first, later), Equals((True, 0)))
+
+
+def test_bad_version_is_taken_back_within_few_requests():
+    """Also while the store can't be written."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (old,)):
+            new = await fleet.start("n2")
+            await wait_for(new.is_ready_soon)
+            new.target.script["/read/x"] = "fail"
+            await new.announce(version="v2", born=5000)
+            order = {"service": "a", "to": "v2", "duration": "8s"}
+            fleet.store.put_json("op", "rollout/a", order)
+            await wait_for(
+                lambda: (
+                    old.sidecar.moves.choose_version("a")
+                    and ("status", "rollout/a") in fleet.store.rows
+                )
+            )
+            fleet.store.fault = "busy"
+            for _ in range(400):
+                await old.request("/read/x")
+            await asyncio.sleep(0.5)
+            exposed = new.target.runs.total()
+            fleet.store.fault = "up"
+            await wait_for(
+                lambda: b"rolled_back" in fleet.store.rows["status", "rollout/a"][0]
+            )
+            return exposed
+
+    assert_that(run_async(work), LessThan(60))
