--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -127,6 +127,11 @@
             targets.append(self.get_state())
         return targets
 
+    def get_share(self, service: str) -> float:
+        """Return the share that a move gives to the new version; 0 without one."""
+        known = self._known.get(service)
+        return known.move.share if known is not None else 0.0
+
     def find_fallback(self, service: str, version: str) -> str:
         """Return the old version if calls meant for `version` may go there.
 
