--- /dev/null
+++ b/cactusshed/mesh/change.py
@@ -0,0 +1,67 @@
+"""Differences between configurations, as one node tells them to another."""
+
+import attrs
+
+from .frames import TableChange
+from .table import Limits, Part, Route, Service, Table
+
+__all__ = ["decode_change", "encode_change", "find_changed_routes"]
+
+
+def find_changed_routes(before: Table, after: Table) -> frozenset:
+    """Return host and prefix of each route that is new, gone or different."""
+    changed = set()
+    for host in before.routes.keys() | after.routes.keys():
+        old, new = before.routes.get(host, {}), after.routes.get(host, {})
+        for prefix in old.keys() | new.keys():
+            if old.get(prefix) != new.get(prefix):
+                changed.add((host, prefix))
+    return frozenset(changed)
+
+
+def encode_change(table: Table, base: int, changed: set | None) -> TableChange:
+    """Return the difference to `base`: the `changed` routes, or all for `None`."""
+    if changed is None:
+        base = 0
+        changed = {(h, p) for h, routes in table.routes.items() for p in routes}
+    present = [
+        table.routes[host][prefix]
+        for host, prefix in sorted(changed)
+        if prefix in table.routes.get(host, ())
+    ]
+    return TableChange(
+        base=base,
+        version=table.version,
+        routes=[attrs.astuple(route) for route in present],
+        removed=sorted(changed - {(route.host, route.prefix) for route in present}),
+        services=[attrs.astuple(service) for service in table.services.values()],
+        limits=attrs.astuple(table.limits),
+    )
+
+
+def decode_change(change: TableChange, before: Table) -> Table:
+    """Return the configuration that `change` makes of `before`.
+
+    Raises `TypeError` or `ValueError` when fields are missing.
+    """
+    routes = dict(before.routes) if change.base else {}
+    copied: set[str] = set()
+
+    def open_host(host: str) -> dict[str, Route]:
+        if host not in copied:
+            copied.add(host)
+            routes[host] = dict(routes.get(host, {}))
+        return routes[host]
+
+    for name, host, prefix, parts, *rest in change.routes:
+        found = tuple(Part(*part) for part in parts)
+        open_host(host)[prefix] = Route(name, host, prefix, found, *rest)
+    for host, prefix in change.removed:
+        open_host(host).pop(prefix, None)
+    services = (Service(*fields) for fields in change.services)
+    return Table(
+        change.version,
+        routes,
+        {service.name: service for service in services},
+        Limits(*change.limits),
+    )
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -14,6 +14,7 @@
     "ANSWERED",
     "NOT_RUN",
     "UNKNOWN",
+    "Beat",
     "Call",
     "Cancel",
     "Evidence",
@@ -27,10 +28,11 @@
     "Pull",
     "Result",
     "Settle",
-    "Snapshot",
     "SplitFrames",
     "Strike",
+    "TableChange",
     "TargetState",
+    "Update",
     "encode_frame",
     "make_attempt_id",
 ]
@@ -67,8 +69,7 @@
     address: str
     service: str
     state: TargetState
-    revision: int
-    version: int
+    link_mbps: float
     remembered: TargetState | None = None
     """What the sender last knew of the target beside the receiver."""
 
@@ -142,26 +143,52 @@
 
 
 class News(msgspec.Struct, array_like=True, tag=6):
-    """A change at the sender: its target's state or what it knows of the store."""
+    """A change of the target beside the sender, or of the sender itself."""
 
     state: TargetState
-    revision: int
-    version: int
     is_leaving: bool
 
 
-class Pull(msgspec.Struct, array_like=True, tag=7):
-    """Asks for what the store held; the receiver has configuration `version`."""
+class Beat(msgspec.Struct, array_like=True, tag=7):
+    """How far the sender knows the operator's rows, and its configuration.
+
+    `changed` is the store's counter at the last change known.
+    """
+
+    changed: int
+    version: int
+
+
+class Pull(msgspec.Struct, array_like=True, tag=8):
+    """Asks for what the other knows; the sender has configuration `version`."""
+
+    version: int
+
+
+class TableChange(msgspec.Struct, array_like=True):
+    """The difference of a configuration to `base`, or all of it for base 0.
+
+    Routes are given by the fields of the product's type in their order.
+    """
 
+    base: int
     version: int
+    routes: list[tuple]
+    removed: list[tuple[str, str]]
+    """Hosts and prefixes of routes that are gone."""
+    services: list[tuple]
+    limits: tuple
 
 
-class Snapshot(msgspec.Struct, array_like=True, tag=8):
-    """What the sender knows of the store at `revision`."""
+class Update(msgspec.Struct, array_like=True, tag=14):
+    """What the sender knows of the operator's rows."""
 
     revision: int
-    rows: list[tuple[str, str, bytes, int]]
-    """Table, key, value and version of rows."""
+    """The store's counter up to which the sender has read."""
+    changed: int
+    rows: list[tuple[str, bytes, int]]
+    """Key, value and version of all rows but the configuration's."""
+    change: TableChange | None
 
 
 class Strike(msgspec.Struct, array_like=True, tag=9):
@@ -206,7 +233,8 @@
     | Settle
     | News
     | Pull
-    | Snapshot
+    | Beat
+    | Update
     | Strike
     | Evidence
     | Ping
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -7,6 +7,7 @@
 
 from ..clock import read_monotonic
 from .frames import (
+    Beat,
     Call,
     Cancel,
     Evidence,
@@ -15,14 +16,13 @@
     Pull,
     Result,
     Settle,
-    Snapshot,
     Strike,
+    Update,
 )
 from .gate import Gate
 from .link import Link
 from .moves import Moves
-from .peers import Member
-from .records import Records
+from .relay import Relay
 from .suspects import Suspects
 
 __all__ = ["Inbound"]
@@ -33,10 +33,10 @@
     """Calls of other nodes that are running here."""
 
     gate: Gate
-    records: Records
     suspects: Suspects
     pass_on: Callable[[Link, Frame], None]
     moves: Moves | None = None
+    relay: Relay | None = None
     _calls: dict[tuple[int, int], tuple[Call, asyncio.Task]] = attrs.Factory(dict)
 
     @property
@@ -55,11 +55,8 @@
             asyncio.create_task(self._settle(link, frame))  # noqa: RUF006
         elif isinstance(frame, Strike):
             self.suspects.take(frame, read_monotonic())
-        elif isinstance(frame, Pull):
-            rows = self.records.list_rows(frame.version)
-            link.send(Snapshot(self.records.revision, rows))
-        elif isinstance(frame, Snapshot):
-            self.records.take_snapshot(frame.rows, frame.revision)
+        elif isinstance(frame, Beat | Pull | Update):
+            self.relay.handle(link, frame)
         elif isinstance(frame, Evidence):
             self.moves.take_evidence(frame)
         elif isinstance(frame, MoveNews):
@@ -92,13 +89,3 @@
             call, task = self._calls[key]
             if call.is_repeatable:
                 task.cancel()
-
-    def pull(self, member: Member) -> None:
-        """Ask a node for the rows that it knows, if they are still newer."""
-        records = self.records
-        if member.link is None or not member.is_up:
-            return
-        if member.revision > records.revision or (
-            member.version > records.table.version
-        ):
-            member.link.send(Pull(records.table.version))
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -44,8 +44,9 @@
     state: TargetState = attrs.Factory(TargetState)
     remembered: TargetState = attrs.Factory(TargetState)
     """The last state in which the node knew its target, for its next life."""
-    revision: int = 0
+    changed: int = 0
     version: int = 0
+    link_mbps: float = 0.0
     is_leaving: bool = False
     link: Link | None = None
     is_up: bool = False
@@ -71,6 +72,7 @@
         handle: Callable[[Link, Frame], None],
         on_member: Callable[[Member], None],
         on_remembered: Callable[[Hello], None],
+        on_greeted: Callable[[Link], None],
         counters: Counters,
     ) -> None:
         """Greet with `make_hello`; pass frames that are no results to `handle`."""
@@ -79,6 +81,7 @@
         self._handle_other = handle
         self._on_member = on_member
         self._on_remembered = on_remembered
+        self._on_greeted = on_greeted
         self._counters = counters
         self._numbers = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
@@ -230,6 +233,7 @@
             member = self.members.get(hello.node)
             remembered = member.remembered if member else None
             link.send(self._make_hello(remembered))
+            self._on_greeted(link)
             if member is not None and not member.is_up:
                 self._update(member, hello)
             return
@@ -254,8 +258,7 @@
         member.state = hello.state
         if hello.state.name:
             member.remembered = hello.state
-        member.revision = hello.revision
-        member.version = hello.version
+        member.link_mbps = hello.link_mbps
         member.seen = read_monotonic()
 
     def _take_news(self, link: Link, news: News) -> None:
@@ -265,10 +268,11 @@
         member.state = news.state
         if news.state.name:
             member.remembered = news.state
-        member.revision = max(member.revision, news.revision)
-        member.version = max(member.version, news.version)
         member.is_leaving = news.is_leaving
-        self._on_member(member)
+
+    def list_accepted(self) -> list[Link]:
+        """Return the links that other nodes dialled."""
+        return list(self._accepted)
 
     def broadcast(self, frame: Frame) -> int:
         """Send a frame to every node over the links that they dialled."""
--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -4,7 +4,8 @@
 either way it is never replaced by an older state.
 """
 
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -14,6 +15,8 @@
 from ..platform.document import MoveOrder, decode_move, decode_table
 from ..platform.orders import CONFIG_KEY, EVACUATION_PREFIX, MOVE_PREFIX, ORDERS
 from ..platform.rows import StoredRow
+from .change import decode_change, encode_change, find_changed_routes
+from .frames import Update
 from .table import EMPTY_TABLE, Table
 
 __all__ = ["Order", "Records"]
@@ -27,18 +30,32 @@
     version: int
 
 
+HISTORY = 40
+"""Configurations to which a difference can be told: a storm of some seconds."""
+
+
 @attrs.define
 class Records:
-    """The operator's rows and what they mean; `revision` is the store's counter."""
+    """The operator's rows and what they mean.
+
+    `revision` is the store's counter up to which this node has read, `changed`
+    its value at the last change known. The configuration's own row is not kept.
+    """
 
     counters: Counters
     on_change: Callable[[], None]
+    pass_on: Callable[[int], None]
+    """Told of a change of knowledge, with the configuration before."""
     revision: int = 0
+    changed: int = 0
     table: Table = EMPTY_TABLE
     evacuated: frozenset[str] = frozenset()
     orders: dict[str, Order] = attrs.Factory(dict)
     rows: dict[str, StoredRow] = attrs.Factory(dict)
     _refused: dict[str, int] = attrs.Factory(dict)
+    _history: deque[tuple[int, frozenset]] = attrs.Factory(
+        lambda: deque(maxlen=HISTORY)
+    )
 
     def take_changes(self, rows: Iterable[StoredRow], revision: int) -> None:
         """Take over the rows that changed up to `revision`."""
@@ -47,26 +64,32 @@
         changed = [row for row in rows if self._take_row(row)]
         self.revision = revision
         if changed:
+            base = self.table.version
+            self.changed = max(self.changed, *(row.version for row in changed))
             self._apply(changed)
+            self.pass_on(base)
 
     def take_all(self, rows: Iterable[StoredRow], revision: int) -> None:
         """Take over the whole of the operator's rows as of `revision`."""
         if revision < self.revision:
             return
         rows = list(rows)
+        self.take_changes([*rows, *self._find_gone(rows, revision)], revision)
+
+    def _find_gone(self, rows: list[StoredRow], revision: int) -> Iterator[StoredRow]:
+        """Yield the rows that are known and not among `rows`, as dropped."""
         present = {row.key for row in rows}
-        gone = [
-            attrs.evolve(row, is_gone=True, version=max(row.version, revision))
-            for key, row in self.rows.items()
-            if key not in present and not row.is_gone
-        ]
-        self.take_changes([*rows, *gone], revision)
+        for key, row in self.rows.items():
+            if key not in present and not row.is_gone and key != CONFIG_KEY:
+                version = max(row.version, revision)
+                yield attrs.evolve(row, is_gone=True, version=version)
 
     def _take_row(self, row: StoredRow) -> bool:
         known = self.rows.get(row.key)
         if known is not None and known.version >= row.version:
             return False
-        self.rows[row.key] = row
+        kept = attrs.evolve(row, value=b"") if row.key == CONFIG_KEY else row
+        self.rows[row.key] = kept
         return True
 
     def _apply(self, rows: list[StoredRow]) -> None:
@@ -96,13 +119,16 @@
     def _apply_table(self, table: Table) -> None:
         if table.version <= self.table.version:
             return
+        keys = find_changed_routes(self.table, table)
         log_line(
             "configuration-applied",
             version=table.version,
             before=self.table.version,
             routes=sum(map(len, table.routes.values())),
+            changed=len(keys),
         )
         self.counters.add("configurations_applied")
+        self._history.append((self.table.version, keys))
         self.table = table
 
     def _apply_evacuation(self, row: StoredRow) -> None:
@@ -113,21 +139,49 @@
             self.evacuated |= {data_centre}
         log_line("evacuation", data_centre=data_centre, ended=row.is_gone)
 
-    def list_rows(self, known_version: int) -> list[tuple[str, str, bytes, int]]:
-        """Return the rows for a node whose configuration is `known_version`."""
-        return [
-            (ORDERS, row.key, row.value, row.version)
+    # Between nodes.
+
+    def make_update(self, base: int) -> Update:
+        """Return what is known, for a node whose configuration is `base`."""
+        rows = [
+            (row.key, row.value, row.version)
             for row in self.rows.values()
-            if not row.is_gone
-            and not (row.key == CONFIG_KEY and known_version >= self.table.version)
+            if not row.is_gone and row.key != CONFIG_KEY
         ]
-
-    def take_snapshot(
-        self, rows: Iterable[tuple[str, str, bytes, int]], revision: int
-    ) -> None:
-        """Take over the rows that another node knows, if they are newer."""
-        stored = [StoredRow(*row) for row in rows]
-        known = self.rows.get(CONFIG_KEY)
-        if known is not None and all(row.key != CONFIG_KEY for row in stored):
-            stored.append(known)
-        self.take_all(stored, revision)
+        change = None
+        if base < self.table.version:
+            change = encode_change(self.table, base, self._find_changed(base))
+        return Update(self.revision, self.changed, rows, change)
+
+    def _find_changed(self, base: int) -> set | None:
+        """Return hosts and prefixes that changed since `base`, `None` for all."""
+        changed: set = set()
+        for version, keys in reversed(self._history):
+            changed |= keys
+            if version == base:
+                return changed
+        return None
+
+    def take_update(self, update: Update) -> bool:
+        """Take over what another node knows.
+
+        Returns whether this node then knows as much; it does not when the
+        difference is to a configuration that it does not have.
+        """
+        change = update.change
+        if change is not None and change.version > self.table.version:
+            if change.base not in (0, self.table.version):
+                return False
+            try:
+                self._apply_table(decode_change(change, self.table))
+            except (TypeError, ValueError) as error:
+                raise Malformed(f"update: {error}", step="read update") from error
+        if update.changed > self.changed:
+            rows = [StoredRow(ORDERS, *row) for row in update.rows]
+            rows.extend(self._find_gone(rows, update.changed))
+            self.changed = update.changed
+            self._apply([row for row in rows if self._take_row(row)])
+        else:
+            self.on_change()
+        self.revision = max(self.revision, update.revision)
+        return update.change is None or self.table.version >= update.change.version
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -27,6 +27,7 @@
 from .moves import Moves
 from .peers import Member, Peers
 from .records import Records
+from .relay import Relay
 from .storekeeper import Storekeeper
 from .supervision import Task, keep_running
 from .suspects import Suspects
@@ -37,8 +38,6 @@
 
 READY_PATH = b"/cactusshed/readyz"
 METRICS_PATH = b"/metrics"
-PULL_SECONDS = 0.3
-"""Time for the own feed to bring what another node already knows."""
 STOP_MARGIN_SECONDS = 0.8
 """Part of the time until SIGKILL that is kept for the end itself."""
 SETTLE_SECONDS = 2.3
@@ -50,8 +49,6 @@
 LAST_TAKEN_SECONDS = 2.9
 """Time after which requests are turned away: what came before ends in the grace."""
 POLL_SECONDS = 0.02
-FIRST_PEERS_SECONDS = 0.4
-"""Time for the first links of a starting node, before it says it is ready."""
 
 
 class Sidecar:
@@ -66,7 +63,9 @@
         self.histograms = Histograms()
         self.quarantine = Quarantine()
         self.suspects = Suspects(self.quarantine)
-        self.records = Records(self.counters, self._apply_records)
+        self.records = Records(
+            self.counters, self._apply_records, lambda base: self.relay.pass_on(base)
+        )
         self.store = RowStore(settings.store, self.counters)
         bounds = settings.bounds
         self.gate = Gate(
@@ -100,12 +99,13 @@
             self._add_member,
             lambda: self.announcements.state,
             self.announcements.remember,
+            lambda: self.relay.is_reader(),
+            lambda: self.relay.confirm(),
         )
-        self.inbound = Inbound(
-            self.gate, self.records, self.suspects, self._handle_frame
-        )
+        self.inbound = Inbound(self.gate, self.suspects, self._handle_frame)
         self.peers: Peers | None = None
         self.moves: Moves | None = None
+        self.relay: Relay | None = None
 
     # Messages between the parts.
 
@@ -117,8 +117,7 @@
             address=str(self.settings.peers),
             service=self.settings.service,
             state=self.announcements.state,
-            revision=self.records.revision,
-            version=self.records.table.version,
+            link_mbps=self.settings.link_mbps,
             remembered=remembered,
         )
 
@@ -130,8 +129,6 @@
             self.peers.broadcast(
                 News(
                     self.announcements.state,
-                    self.records.revision,
-                    self.records.table.version,
                     self.is_leaving,
                 )
             )
@@ -151,17 +148,8 @@
         self.peers.handle(link, frame)
 
     def _note_member(self, member: Member) -> None:
-        """Ask another node for what it knows, unless the store tells in time."""
-        if member.link is not None:
-            self.moves.greet(member.link.send)
-        if member.revision > self.records.revision or (
-            member.version > self.records.table.version
-        ):
-            asyncio.get_running_loop().call_later(
-                PULL_SECONDS if self.records.table.version else 0.0,
-                self.inbound.pull,
-                member,
-            )
+        """Tell a node that was just found of all moves."""
+        self.moves.greet(member.link.send)
 
     def _note_remembered(self, hello: Hello) -> None:
         if hello.remembered is not None:
@@ -180,7 +168,6 @@
         if self.moves is not None:
             self.moves.apply()
         self.announcements.refresh()
-        self._tell()
 
     # Start and stop.
 
@@ -193,8 +180,17 @@
             self.inbound.handle,
             self._note_member,
             self._note_remembered,
+            lambda link: self.relay.greet(link),
             self.counters,
         )
+        self.relay = self.inbound.relay = Relay(
+            settings.node,
+            settings.data_centre,
+            settings.link_mbps,
+            self.peers,
+            self.records,
+            lambda: self.is_leaving,
+        )
         self.moves = self.inbound.moves = Moves(
             settings.node,
             settings.service,
@@ -252,6 +248,7 @@
             self.announcements.watch,
             self.gate.tick,
             self.peers.sweep,
+            self.relay.run,
             *(listener.sweep for listener in listeners),
         ]
 
--- a/cactusshed/mesh/storekeeper.py
+++ b/cactusshed/mesh/storekeeper.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from ..clock import read_monotonic
 from ..errors import AnswerLost, CactusError, ConditionFailed
 from ..observe.counters import Counters
 from ..observe.lines import log_line
@@ -19,6 +20,12 @@
 
 FEED_SECONDS = 2.0
 """Wait of one feed call: a dead connection is noticed within the users' bound."""
+FIND_SECONDS = 0.15
+"""Time for a starting node to find its neighbours: some calls to the store."""
+FOLLOW_SECONDS = 0.1
+"""Time between two looks whether this node has to read."""
+FIRST_UPDATE_SECONDS = 0.6
+"""Time for the first update: a whole document over the slowest links known."""
 FIRST_PAUSE_SECONDS = 0.05
 LAST_PAUSE_SECONDS = 0.5
 """Longest pause after a failure: entries are back soon after the store is."""
@@ -54,8 +61,13 @@
     on_member: Callable[[str, str], None]
     get_state: Callable[[], TargetState]
     remember: Callable[[TargetState], None]
+    is_reader: Callable[[], bool]
+    """Returns whether this node reads the operator's rows itself."""
+    confirm: Callable[[], None]
+    """Told each time the store has answered."""
     has_asked: asyncio.Event = attrs.Factory(asyncio.Event)
     is_reachable: bool = True
+    _asked_since: float | None = None
     _version: int | None = None
     _wanted: asyncio.Event = attrs.Factory(asyncio.Event)
     _lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
@@ -70,11 +82,17 @@
 
     async def follow(self) -> None:
         """Keep the records up to date until cancelled."""
+        # Whoever reads here already may be found before that costs a call.
+        await asyncio.sleep(FIND_SECONDS)
         pause = FIRST_PAUSE_SECONDS
-        whole = True
+        whole = self.records.revision == 0
         while True:
+            if self.records.revision and not self.is_reader():
+                await asyncio.sleep(FOLLOW_SECONDS)
+                whole = False
+                continue
             try:
-                whole = await self._read_orders(whole)
+                whole = await self._read_orders(whole or not self.records.revision)
                 pause = FIRST_PAUSE_SECONDS
                 self._note_reachable(True)
             except HistoryGone:
@@ -86,16 +104,28 @@
                 pause = min(LAST_PAUSE_SECONDS, 2 * pause)
 
     async def _read_orders(self, whole: bool) -> bool:
+        if whole and not self.is_reader() and not self._is_impatient():
+            # The reader of this data centre sends its update at its own pace.
+            await asyncio.sleep(FOLLOW_SECONDS)
+            return True
         if whole:
             page = await self.store.read_table(ORDERS)
+            self.confirm()
             self.records.take_all(page.rows, page.version)
             self.has_asked.set()
             return False
         after = self.records.revision
         page = await self.store.follow(ORDERS, after, FEED_SECONDS)
+        self.confirm()
         self.records.take_changes(page.rows, page.version)
         return False
 
+    def _is_impatient(self) -> bool:
+        """Return whether the reader has had its time for a first update."""
+        if self._asked_since is None:
+            self._asked_since = read_monotonic()
+        return read_monotonic() - self._asked_since > FIRST_UPDATE_SECONDS
+
     def _note_reachable(self, reachable: bool, cause: str = "") -> None:
         if reachable == self.is_reachable:
             return
--- a/cactusshed/platform/boot.py
+++ b/cactusshed/platform/boot.py
@@ -71,6 +71,7 @@
     heartbeat: float
     """Time between two announcements of a target, in seconds."""
     memory_bytes: int
+    link_mbps: float
     row_bytes: int
     bounds: Bounds
 
@@ -113,6 +114,7 @@
     ("store", "platform", "address", read_address),
     ("heartbeat", "", "heartbeat", read_seconds),
     ("memory_bytes", "limits", "memory_mb", read_number),
+    ("link_mbps", "limits", "link_mbps", read_number),
     ("row_bytes", "platform", "row_bytes", read_int),
     ("drain", "bounds", "drain", read_seconds),
     ("grace", "bounds", "grace", read_seconds),
--- a/standins/meshfleet.py
+++ b/standins/meshfleet.py
@@ -223,6 +223,7 @@
             store=self.address,
             heartbeat=1.5,
             memory_bytes=300 << 20,
+            link_mbps=1000.0,
             row_bytes=1 << 16,
             bounds=BOUNDS,
         )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -241,7 +241,7 @@
             fleet.store.put("op", "config", b'{"version": "high"}')
             await wait_for(lambda: "rollout/a" in node.sidecar.records.rows)
             again = await fleet.start("n2")
-            await wait_for(again.sidecar.keeper.has_asked.is_set)
+            await wait_for(again.is_ready_soon)
             return (await node.request("/read/x")).status
 
     assert_that(run_async(work), Equals(200))
