--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -14,6 +14,10 @@
 
 __all__ = ["Link", "LinkLost", "dial_link", "serve_links"]
 
+PROBE_IDLE_SECONDS = 10
+"""Idle time before a link is probed. A link with a call on its way is watched by
+its own sign of life; n nodes have n * n links, and probes of each second would be
+most of what travels between data centres."""
 DIAL_SECONDS = 1.0
 """Time to establish a link: a node's answer, or one retransmitted SYN."""
 
@@ -48,7 +52,7 @@
     def connection_made(self, transport) -> None:
         """Keep the transport."""
         self._transport = transport
-        set_probes(transport)
+        set_probes(transport, PROBE_IDLE_SECONDS)
 
     def data_received(self, data: bytes) -> None:
         """Handle the frames that have arrived."""
--- a/cactusshed/mesh/suspects.py
+++ b/cactusshed/mesh/suspects.py
@@ -1,9 +1,9 @@
 """Requests that are with the target, and those that were when it died."""
 
-import hashlib
-import secrets
+import random
 
 import attrs
+import xxhash
 
 from ..policy.quarantine import Quarantine
 from .frames import Call, Strike
@@ -12,13 +12,13 @@
 
 CRASH_SECONDS = 1.0
 """Time in which all requests in flight at one crash lose their connections."""
-PRINT_BYTES = 16
+STRIKE_BYTES = 8
 
 
 def make_fingerprint(call: Call) -> bytes:
     """Return the digest by which a repeat of a request is known."""
     plain = b"\0".join((call.method, call.path, call.caller.encode(), call.body))
-    return hashlib.blake2b(plain, digest_size=PRINT_BYTES).digest()
+    return xxhash.xxh3_128_digest(plain)
 
 
 @attrs.define
@@ -58,7 +58,7 @@
     def condemn(self, now: float) -> list[Strike]:
         """Return the strikes once the target is known to have died."""
         strikes = [
-            Strike(make_fingerprint(call), secrets.token_bytes(8), alone)
+            Strike(make_fingerprint(call), random.randbytes(STRIKE_BYTES), alone)
             for at, call, alone in self._broken
             if now - at <= CRASH_SECONDS
         ]
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -71,13 +71,15 @@
         return None
 
 
-def set_probes(transport: asyncio.Transport) -> None:
+def set_probes(
+    transport: asyncio.Transport, idle_seconds: int = PROBE_IDLE_SECONDS
+) -> None:
     """Let the kernel find out that a silent connection is dead."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_seconds)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/cactusshed/sidecar.py
+++ b/cactusshed/sidecar.py
@@ -1,14 +1,18 @@
 """The daemon of the users' platform: a node beside one target."""
 
-import asyncio
-import os
-import signal
 import sys
 
-from .errors import CactusError
-from .mesh.sidecar import Sidecar
-from .observe.lines import log_line, open_lines
-from .platform.boot import Settings, find_settings_path, load_settings
+# Nothing here speaks TLS; the event loop then does not load 4 MB of OpenSSL.
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
+
+import asyncio  # noqa: E402
+import os  # noqa: E402
+import signal  # noqa: E402
+
+from .errors import CactusError  # noqa: E402
+from .mesh.sidecar import Sidecar  # noqa: E402
+from .observe.lines import log_line, open_lines  # noqa: E402
+from .platform.boot import Settings, find_settings_path, load_settings  # noqa: E402
 
 __all__ = ["main"]
 
