A leave binds a node that does not know its target yet; one question at a time

Ruled out: the gate (closed in every other order of events). The leave is kept by name and birth. test_leave_binds_a_node_that_did_not_know_its_target_yet failed first.

Heartbeats of new targets are acknowledged without waiting for the store.

Starting nodes asked every node that greeted them for the whole document.

--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -16,6 +16,7 @@
     LEAVE,
     Announcement,
     decode_announcement,
+    read_born,
     read_call,
 )
 from .frames import Strike, TargetState
@@ -42,11 +43,16 @@
     counters: Counters
     persist: Callable[[], Awaitable[None]]
     """Records the target's state where the node's next life finds it."""
+    want_row: Callable[[], None]
+    """Has the same done soon, without waiting."""
     tell: Callable[[], None]
     """Tells the other nodes of a change."""
     spread: Callable[[list[Strike]], None]
     state: TargetState = attrs.Factory(TargetState)
     _number: int = -1
+    _left: dict[str, int] = attrs.Factory(dict)
+    """Birth of targets whose leave was acknowledged, also before they were known
+    here; 0 if they did not tell it."""
     _doubted: asyncio.Event = attrs.Factory(asyncio.Event)
 
     # State.
@@ -72,18 +78,19 @@
         """Take over what an earlier life of this node had acknowledged."""
         if self.state.name or not state.name:
             return
+        has_left = state.has_left or self._has_left(state.name, state.born)
         self.set_state(
             name=state.name,
             version=state.version,
             slots=state.slots,
             born=state.born,
-            has_left=state.has_left,
+            has_left=has_left,
         )
         self.gate.room.limit = max(1, state.slots)
         self.gate.version = state.version
         self.gate.instance = state.name
-        self.gate.set_closure("target-left", state.has_left)
-        log_line("target-remembered", instance=state.name, left=state.has_left)
+        self.gate.set_closure("target-left", has_left)
+        log_line("target-remembered", instance=state.name, left=has_left)
         self._doubted.set()
 
     # Announcements.
@@ -94,7 +101,7 @@
         if call == BEAT:
             return await self._take_beat(name, request.body)
         if call == LEAVE:
-            return await self._take_leave(name)
+            return await self._take_leave(name, read_born(request.body))
         return make_response(404)
 
     async def _take_beat(self, name: str, body: bytes) -> Response:
@@ -115,7 +122,7 @@
         self._number = said.number
         is_new = (said.name, said.born) != (self.state.name, self.state.born)
         if is_new:
-            await self._take_new(said)
+            self._take_new(said)
         self._take_cold(said.cold_left)
         if said.is_leaving and not self.state.has_left:
             await self._close_for_good("announced")
@@ -128,8 +135,9 @@
             return said.born < self.state.born
         return said.name == self.state.name and said.number < self._number
 
-    async def _take_new(self, said: Announcement) -> None:
+    def _take_new(self, said: Announcement) -> None:
         now = read_monotonic()
+        has_left = self._has_left(said.name, said.born)
         restarted = bool(self.state.name)
         log_line(
             "target-found",
@@ -152,13 +160,13 @@
             version=said.version,
             slots=said.slots,
             born=said.born,
-            has_left=said.is_leaving,
+            has_left=has_left,
         )
-        gate.set_closure("target-left", said.is_leaving)
-        if not said.is_leaving:
+        gate.set_closure("target-left", has_left or said.is_leaving)
+        if not has_left and not said.is_leaving:
             gate.set_closure("target-unknown", False)
             gate.set_closure("target-down", False)
-        await self.persist()
+        self.want_row()
 
     def _take_cold(self, seconds: float) -> None:
         now = read_monotonic()
@@ -168,7 +176,17 @@
             log_line("target-cold" if seconds else "target-warm", seconds=seconds)
         self.gate.advance()
 
-    async def _take_leave(self, name: str) -> Response:
+    def _has_left(self, name: str, born: int) -> bool:
+        """Return whether the leave of this life of a target was acknowledged."""
+        left = self._left.get(name)
+        return left is not None and (not left or born <= left)
+
+    async def _take_leave(self, name: str, born: int) -> Response:
+        # A node that has just started may learn only later that this is its own.
+        self._left[name] = born
+        if not self.state.name:
+            self.set_state(name=name)
+            self.gate.instance = name
         if name != self.state.name:
             self.counters.add("announcements_old")
             log_line("leave-of-another", instance=name, known=self.state.name)
--- a/cactusshed/mesh/relay.py
+++ b/cactusshed/mesh/relay.py
@@ -29,6 +29,9 @@
 the users want a configuration in force."""
 CONFIRMED_SECONDS = 2.8
 """Age of the store's last answer at which it counts as lost: one feed call."""
+ANSWER_SECONDS = 0.8
+"""Time for the answer to one question, before another node is asked: a whole
+document over the slowest links known."""
 PULL_SECONDS = 0.3
 """Time for the own reader to bring what another data centre already knows."""
 
@@ -46,6 +49,7 @@
     confirmed: float = float("-inf")
     _heard: dict[str, float] = attrs.Factory(dict)
     _was_reader: bool = False
+    _pulled: float = float("-inf")
 
     def find_reader(self) -> str:
         """Return the node of this data centre that is to read the store."""
@@ -116,8 +120,10 @@
             self._take_beat(link, frame)
         elif isinstance(frame, Pull):
             link.send(self.records.make_update(frame.version))
-        elif isinstance(frame, Update) and not self.records.take_update(frame):
-            link.send(Pull(self.records.table.version))
+        elif isinstance(frame, Update):
+            self._pulled = float("-inf")
+            if not self.records.take_update(frame):
+                link.send(Pull(self.records.table.version))
 
     def _take_beat(self, link: Link, beat: Beat) -> None:
         member = self.peers.members.get(link.peer)
@@ -128,7 +134,9 @@
         if member.data_centre == self.data_centre:
             self._heard[member.node] = read_monotonic()
         if self._is_behind(member):
-            pause = PULL_SECONDS if self.records.table.version else 0.0
+            is_near = member.data_centre == self.data_centre
+            is_new = not self.records.table.version
+            pause = 0.0 if is_near and is_new else PULL_SECONDS
             loop = asyncio.get_running_loop()
             loop.call_later(pause, self._pull, member)
 
@@ -140,6 +148,10 @@
 
     def _pull(self, member: Member) -> None:
         """Ask a node for what it knows, if that is still news."""
-        if member.is_up and member.link is not None and self._is_behind(member):
-            log_line("pulled", member=member.node, changed=member.changed)
-            member.link.send(Pull(self.records.table.version))
+        now = read_monotonic()
+        is_waiting = now - self._pulled < ANSWER_SECONDS
+        if is_waiting or not member.is_up or not self._is_behind(member):
+            return
+        self._pulled = now
+        log_line("pulled", member=member.node, changed=member.changed)
+        member.link.send(Pull(self.records.table.version))
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -87,6 +87,7 @@
             self.suspects,
             self.counters,
             self._persist,
+            lambda: self.keeper.want_row(),
             self._tell,
             self._spread_strikes,
         )
--- a/cactusshed/platform/instance.py
+++ b/cactusshed/platform/instance.py
@@ -6,7 +6,7 @@
 from ..errors import Malformed
 from .fields import read_int, read_seconds, read_text
 
-__all__ = ["Announcement", "decode_announcement", "read_call"]
+__all__ = ["Announcement", "decode_announcement", "read_born", "read_call"]
 
 BEAT = "instances.heartbeat"
 LEAVE = "instances.leave"
@@ -62,3 +62,11 @@
         number=read_int(fields, "seq"),
         born=read_int(fields, "born", 0),
     )
+
+
+def read_born(body: bytes) -> int:
+    """Return the birth that a target names in any call; 0 if it can't be read."""
+    try:
+        return read_int(msgspec.json.decode(body), "born", 0)
+    except (Malformed, msgspec.DecodeError):
+        return 0
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -177,6 +177,28 @@
     assert_that(run_async(work), Equals((200, False)))
 
 
+def test_leave_binds_a_node_that_did_not_know_its_target_yet():
+    """It has just started again and learns only later whose leave that was."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            await wait_for(lambda: ("cactusshed", "member/n1") in fleet.store.rows)
+            await node.sidecar.keeper.write_row()
+            await node.kill()
+            fleet.store.fault = "busy"
+            again = await fleet.start_again(node)
+            await asyncio.sleep(0.1)
+            status = await again.tell("instances.leave")
+            fleet.store.fault = "up"
+            await wait_for(again.is_ready_soon)
+            await wait_for(lambda: again.sidecar.announcements.state.name)
+            await again.announce(seq=1)
+            await asyncio.sleep(0.3)
+            return status, again.sidecar.gate.is_open
+
+    assert_that(run_async(work), Equals((200, False)))
+
+
 def test_node_that_starts_again_opens_without_a_heartbeat():
     """It asks the target that it knew from before."""
 
