--- a/cactusshed/control.py
+++ b/cactusshed/control.py
@@ -32,6 +32,7 @@
     submit_edits,
     wait_option,
 )
+from .tool.story import explain_request
 from .tree.edit import Edit, parse_tree_file
 
 __all__ = ["main"]
@@ -232,7 +233,7 @@
         time.sleep(every)
 
 
-for _command in COMMANDS:
+for _command in (*COMMANDS, explain_request):
     main.add_command(_command)
 
 
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -123,7 +123,7 @@
         is_new = (said.name, said.born) != (self.state.name, self.state.born)
         if is_new:
             self._take_new(said)
-        self._take_cold(said.cold_left)
+        self._take_cold(said.cold_seconds)
         if said.is_leaving and not self.state.has_left:
             await self._close_for_good("announced")
         self.refresh()
@@ -145,7 +145,7 @@
             version=said.version,
             born=said.born,
             slots=said.slots,
-            cold_left=said.cold_left,
+            cold_seconds=said.cold_seconds,
             before=self.state.name,
         )
         if restarted:
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -8,8 +8,9 @@
 from ..clock import read_monotonic, read_wall
 from ..observe.counters import Counters
 from ..observe.histograms import Histograms
-from ..observe.lines import log_line
+from ..observe.lines import get_log, log_line
 from ..observe.page import render_page
+from ..options import Address
 from ..platform import headers as names
 from ..platform.boot import Settings
 from ..platform.rows import RowStore
@@ -38,6 +39,8 @@
 
 READY_PATH = b"/cactusshed/readyz"
 METRICS_PATH = b"/metrics"
+METRICS_PORT = 9464
+"""Port that deploy/system.toml names for the metrics; outside the users' own."""
 STOP_MARGIN_SECONDS = 0.8
 """Part of the time until SIGKILL that is kept for the end itself."""
 SETTLE_SECONDS = 2.3
@@ -272,9 +275,17 @@
             (callers.serve, settings.callers),
             (self.announcements.serve, settings.announcements),
             (self._serve_probe, settings.probes),
+            (self._serve_metrics, Address(settings.probes.ip, METRICS_PORT)),
         ):
             listener = Listener(serve, self._get_limits, self._note_refused)
-            await listener.open(address.ip, address.port)
+            try:
+                await listener.open(address.ip, address.port)
+            except OSError as error:
+                # Without metrics a node still serves; without the others it can't.
+                if address.port != METRICS_PORT:
+                    raise
+                log_line("metrics-not-served", cause=str(error))
+                continue
             listeners.append(listener)
         return listeners
 
@@ -288,11 +299,31 @@
         if request.path == READY_PATH:
             is_ready = self.records.table.version > 0 and not self.is_leaving
             return make_response(200 if is_ready else 503)
-        if request.path == METRICS_PATH:
-            page = render_page(self.counters, self.histograms, [])
-            return Response(200, [(b"content-type", b"text/plain")], page.encode())
         return make_response(404)
 
+    async def _serve_metrics(self, request: Request) -> Response:
+        if request.path != METRICS_PATH:
+            return make_response(404)
+        page = render_page(self.counters, self.histograms, self._list_gauges())
+        return Response(200, [(b"content-type", b"text/plain")], page.encode())
+
+    def _list_gauges(self) -> list[tuple[str, float]]:
+        now = read_monotonic()
+        gate = self.gate
+        return [
+            ("version", self.records.table.version),
+            ("store_answer_age_seconds", now - self.relay.confirmed),
+            ("peers_up", sum(m.is_up for m in self.peers.members.values())),
+            ("gate_open", float(gate.is_open)),
+            ("gate_cold", float(gate.cold.is_cold(now))),
+            ("gate_running", gate.room.running),
+            ("gate_waiting", gate.room.waiting),
+            ("gate_mean_seconds", gate.room.get_mean()),
+            ("backpressure_rate", gate.pressure.rate or 0.0),
+            ("log_lines_suppressed", get_log().suppressed),
+            ("log_lines_dropped", get_log().dropped),
+        ]
+
     async def _drain(self, listener: Listener, callers: Callers) -> None:
         """Send clients and peers elsewhere, and end what is running."""
         started = read_monotonic()
--- a/cactusshed/observe/lines.py
+++ b/cactusshed/observe/lines.py
@@ -14,7 +14,7 @@
 
 from ..clock import read_monotonic, read_wall
 
-__all__ = ["LineLog", "log_line", "open_lines"]
+__all__ = ["LineLog", "get_log", "log_line", "open_lines"]
 
 LINES_PER_SECOND = 20
 """Lines of one kind: ten kinds at once stay below 200 lines a second."""
@@ -61,7 +61,8 @@
             line["suppressed"] = skipped
         self._waiting.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
         if len(self._waiting) > MAX_WAITING:
-            self._waiting.popleft()
+            # The first may have been written in part.
+            del self._waiting[1]
             self.dropped += 1
         self.flush()
 
@@ -106,6 +107,11 @@
     return _log
 
 
+def get_log() -> LineLog:
+    """Return the log of this process."""
+    return _log
+
+
 def log_line(kind: str, **fields: Any) -> None:
     """Write one line about a decision or a change of belief."""
     for name, value in fields.items():
--- a/cactusshed/platform/instance.py
+++ b/cactusshed/platform/instance.py
@@ -27,7 +27,7 @@
     address: str
     slots: int
     is_leaving: bool
-    cold_left: float
+    cold_seconds: float
     number: int
     born: int
 
@@ -58,7 +58,7 @@
         address=read_text(fields, "address"),
         slots=max(1, read_int(fields, "slots")),
         is_leaving=state == "draining",
-        cold_left=read_seconds(fields, "cold_left"),
+        cold_seconds=read_seconds(fields, "cold_left"),
         number=read_int(fields, "seq"),
         born=read_int(fields, "born", 0),
     )
--- /dev/null
+++ b/tests/test_names.py
@@ -0,0 +1,45 @@
+"""The platform's wire names stand in its folder and the stand-ins only."""
+
+import re
+from pathlib import Path
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+PACKAGE = Path(__file__).parent.parent / "cactusshed"
+WIRE = re.compile(
+    r"x-attempt-id|x-deadline-ms|x-response-seal|x-expect-instance|x-server-load"
+    r"|x-not-executed|x-caller-service|x-instance-id|x-cold-ms"
+    r"|rows-tx|rows-get|rows-feed|blob-put|instances\.(heartbeat|leave)"
+    r"|cactusshed_boot|app_addr|heartbeat_addr|cold_left|rolled_back|max_header_bytes",
+    re.IGNORECASE,
+)
+MAX_LINES = 800
+
+
+@pytest.fixture(scope="module")
+def modules():
+    """Return the package's modules."""
+    return sorted(PACKAGE.rglob("*.py"))
+
+
+def test_wire_names_stand_in_one_folder(modules):
+    """A name that is met elsewhere belongs behind a type of the folder."""
+    found = [
+        f"{path.relative_to(PACKAGE)}: {match.group()}"
+        for path in modules
+        if path.parent.name != "platform"
+        for match in WIRE.finditer(path.read_text(encoding="utf-8"))
+    ]
+    assert_that(found, Equals([]))
+
+
+def test_the_folder_stays_small(modules):
+    """It holds translation and nothing else."""
+    lines = sum(
+        len(path.read_text(encoding="utf-8").splitlines())
+        for path in modules
+        if path.parent.name == "platform"
+    )
+    assert_that(lines, LessThan(MAX_LINES))
