--- a/cactusshed/tool/story.py
+++ b/cactusshed/tool/story.py
@@ -100,8 +100,7 @@
     Lines about the request are marked; others say what its nodes believed in
     the five seconds before.
     """
-    sources = logs or (click.get_binary_stream("stdin"),)
-    story = tell_story(read_lines(sources), request)
+    story = tell_story(read_lines(logs or (click.open_file("-", "rb"),)), request)
     if not story:
         raise click.ClickException(f"no line is about request {request!r}")
     for line in story:
