--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -28,6 +28,7 @@
 """Advice of a node that is about to end: another one has room now."""
 SPREAD = (0.9, 1.4)
 """Factors by which advice is spread, so that clients don't return together."""
+# What the gate sets itself, or adds from the call's fields, does not travel twice.
 _REPLACED = frozenset(
     {
         b"connection",
@@ -39,6 +40,7 @@
         b"trailer",
         b"te",
         b"expect",
+        names.ATTEMPT_ID,
         names.DEADLINE_MS,
         names.CALLER,
         names.EXPECTED_INSTANCE,
@@ -169,7 +171,8 @@
             self.counters.add("answered")
             kind = CallClass(plan.call.service, route.name, "-")
             self.histograms.record(kind, max(0.0, spent))
-            return Response(result.status, result.headers, result.body)
+            echoed = (names.ATTEMPT_ID, plan.call.request_id)
+            return Response(result.status, [*result.headers, echoed], result.body)
         self.counters.add(f"failed_{result.code.replace('-', '_')}")
         log_line(
             "call-failed",
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -419,6 +419,7 @@
         b"upgrade",
         b"trailer",
         b"te",
+        names.ATTEMPT_ID,
         names.LOAD,
     }
 )
@@ -432,6 +433,7 @@
     """Return the bytes of a request to the target."""
     lines = [call.method + b" " + call.path + b" HTTP/1.1"]
     lines.extend(name + b": " + value for name, value in call.headers)
+    lines.append(names.ATTEMPT_ID + b": " + call.request_id)
     lines.append(names.DEADLINE_MS + b": %d" % left_ms)
     lines.append(names.EXPECTED_INSTANCE + b": " + instance.encode())
     lines.append(names.CALLER + b": " + call.caller.encode())
