--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -41,8 +41,9 @@
 METRICS_PATH = b"/metrics"
 METRICS_PORT = 9464
 """Port that deploy/system.toml names for the metrics; outside the users' own."""
-STOP_MARGIN_SECONDS = 0.8
-"""Part of the time until SIGKILL that is kept for the end itself."""
+STOP_MARGIN_SECONDS = 1.3
+"""Part of the time until SIGKILL that is kept for the end itself: the last answers
+and one call to the store."""
 SETTLE_SECONDS = 2.3
 """Time after which clients have noticed that the node is not ready: two probes."""
 FRESH_SECONDS = 0.1
