--- a/standins/meshfleet.py
+++ b/standins/meshfleet.py
@@ -48,7 +48,7 @@
     """Return a configuration document; `routes` maps prefixes to changes."""
     rules = [
         {
-            "name": f"r{number}",
+            "name": f"r-{prefix.strip('/')}",
             "kind": fields.get("kind", "safe"),
             "target_latency": "300ms",
             "priority": fields.get("priority", 0),
@@ -59,7 +59,7 @@
                 "attempts": 2,
             },
         }
-        for number, (prefix, fields) in enumerate(routes.items())
+        for prefix, fields in routes.items()
     ]
     clusters = [
         {
--- /dev/null
+++ b/tests/test_rows.py
@@ -0,0 +1,111 @@
+"""The client of the store: outages, lost and late answers, conditions."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from cactusshed.errors import AnswerLost, ConditionFailed, PlatformUnavailable
+from cactusshed.observe.counters import Counters
+from cactusshed.options import Address
+from cactusshed.platform import rows
+from cactusshed.platform.rows import ABSENT, HistoryGone, Put, RowStore
+from standins.meshfleet import find_port
+from standins.rowstore import open_row_store
+
+from .meshes import run_async
+
+
+@asynccontextmanager
+async def open_store():
+    """Yield the stand-in and a client."""
+    address = Address("127.0.0.1", find_port())
+    app, listener = await open_row_store(address)
+    store = RowStore(address, Counters())
+    try:
+        yield app, store
+    finally:
+        store.close()
+        listener.stop()
+
+
+@pytest.fixture(autouse=True)
+def _short_limit(monkeypatch):
+    monkeypatch.setattr(rows, "CALL_SECONDS", 0.3)
+
+
+def test_conditional_writes_and_reads():
+    """A write whose row has moved on does nothing."""
+
+    async def work():
+        async with open_store() as (_, store):
+            version = await store.write([Put("t", "k/1", b"one", ABSENT)])
+            with pytest.raises(ConditionFailed):
+                await store.write([Put("t", "k/1", b"two", ABSENT)])
+            await store.write([Put("t", "k/2", b"more", ABSENT)])
+            page = await store.read_table("t", "k/")
+            return page.rows[0].version == version, [r.value for r in page.rows]
+
+    assert_that(run_async(work), Equals((True, [b"one", b"more"])))
+
+
+def test_feed_tells_changes_at_once_and_drops():
+    """A row that is dropped is told as gone."""
+
+    async def work():
+        async with open_store() as (app, store):
+            after = app.put("t", "k", b"one")
+            waiting = asyncio.create_task(store.follow("t", after, 5.0))
+            await asyncio.sleep(0.05)
+            app.put("t", "k", None)
+            page = await waiting
+            return [(row.key, row.is_gone) for row in page.rows]
+
+    assert_that(run_async(work), Equals([("k", True)]))
+
+
+def test_feed_says_when_history_is_gone():
+    """The caller then reads the whole table."""
+
+    async def work():
+        async with open_store() as (app, store):
+            app.put("t", "k", b"one")
+            app.forget_history()
+            with pytest.raises(HistoryGone):
+                await store.follow("t", 0, 1.0)
+
+    run_async(work)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [("busy", PlatformUnavailable), ("silent", AnswerLost), ("lose", AnswerLost)],
+)
+def test_failed_write_says_whether_it_may_have_been_done(fault, error):
+    """Only a refusal is sure to have done nothing."""
+
+    async def work():
+        async with open_store() as (app, store):
+            app.fault = fault
+            with pytest.raises(error):
+                await store.write([Put("t", "k", b"one", ABSENT)])
+
+    run_async(work)
+
+
+def test_late_write_is_fenced_by_its_condition():
+    """A write that is done late does not undo a newer one."""
+
+    async def work():
+        async with open_store() as (app, store):
+            app.fault, app.late_seconds = "late", 0.5
+            with pytest.raises(AnswerLost):
+                await store.write([Put("t", "k", b"old", ABSENT)])
+            app.fault = "up"
+            await store.write([Put("t", "k", b"new", ABSENT)])
+            await asyncio.sleep(0.4)
+            return app.rows["t", "k"][0]
+
+    assert_that(run_async(work), Equals(b"new"))
