--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -25,6 +25,7 @@
 from .inbound import Inbound
 from .link import Link, serve_links
 from .listener import Listener, Request, Response, make_response
+from .movekeeper import MoveKeeper
 from .moves import Moves
 from .peers import Member, Peers
 from .records import Records
@@ -110,6 +111,7 @@
         self.inbound = Inbound(self.gate, self.suspects, self._handle_frame)
         self.peers: Peers | None = None
         self.moves: Moves | None = None
+        self.mover: MoveKeeper | None = None
         self.relay: Relay | None = None
 
     # Messages between the parts.
@@ -199,12 +201,20 @@
         self.moves = self.inbound.moves = Moves(
             settings.node,
             settings.service,
-            self.store,
             self.records,
             self.gate,
             self.peers,
             lambda: self.announcements.state,
         )
+        self.mover = MoveKeeper(
+            settings.node,
+            settings.service,
+            self.store,
+            self.records,
+            self.gate,
+            self.peers,
+            self.moves,
+        )
         dispatcher = Dispatcher(
             settings.node,
             settings.data_centre,
@@ -248,7 +258,7 @@
             self.keeper.follow,
             self.keeper.keep_members,
             self.keeper.keep_row,
-            self.moves.run,
+            self.mover.run,
             self.announcements.ask,
             self.announcements.watch,
             self.gate.tick,
