--- /dev/null
+++ b/tests/test_listener_mesh.py
@@ -0,0 +1,124 @@
+"""The strict listener: limits, smuggling, pipelining, clients that leave."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, StartsWith
+
+from cactusshed.mesh.listener import Listener, Response
+from cactusshed.mesh.table import Limits
+from standins.meshfleet import find_port
+
+from .meshes import run_async
+
+LIMITS = Limits(1000, 2000, 0.3, 0.6)
+
+
+@asynccontextmanager
+async def open_listener(work=0.0):
+    """Yield a connection to a listener, and the requests that it served."""
+    served, cancelled = [], []
+
+    async def serve(request):
+        try:
+            await asyncio.sleep(work)
+        except asyncio.CancelledError:
+            cancelled.append(request)
+            raise
+        served.append((request.method, request.path, request.body))
+        return Response(200, [], request.path)
+
+    listener = Listener(serve, lambda: LIMITS, lambda status: None)
+    port = find_port()
+    await listener.open("127.0.0.1", port)
+    sweeping = asyncio.create_task(listener.sweep())
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        yield reader, writer, served, cancelled
+    finally:
+        writer.close()
+        sweeping.cancel()
+        listener.stop()
+
+
+def send(data, work=0.0, pause=0.0):
+    """Return all that comes back for `data`, and what was served."""
+
+    async def run():
+        async with open_listener(work) as (reader, writer, served, _):
+            for part in data if isinstance(data, list) else [data]:
+                writer.write(part)
+                await asyncio.sleep(pause)
+            return await reader.read(), served
+
+    return run_async(run)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 2000 + b"\r\n\r\n", 431),
+        (b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 3000\r\n\r\n", 413),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nhost: a\r\n", 408),
+        (b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab", 408),
+    ],
+)
+def test_input_past_the_limits_is_refused(data, status):
+    """Too large, slow or malformed, each with its status, and nothing runs."""
+    answer, served = send(data)
+    assert_that(answer, StartsWith(b"HTTP/1.1 %d " % status))
+    assert_that(served, Equals([]))
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"content-length: 5\r\ntransfer-encoding: chunked\r\n",
+        b"content-length: 5\r\ncontent-length: 6\r\n",
+        b"transfer-encoding: chunked, identity\r\n",
+        b"content-length: +5\r\n",
+    ],
+)
+def test_ambiguous_framing_smuggles_nothing(framing):
+    """A request inside another's body never runs."""
+    inner = b"GET /inner HTTP/1.1\r\nhost: a\r\n\r\n"
+    data = b"POST /outer HTTP/1.1\r\nhost: a\r\n" + framing + b"\r\n0\r\n\r\n" + inner
+    answer, served = send(data)
+    assert_that(answer, StartsWith(b"HTTP/1.1 400"))
+    assert_that([path for _, path, _ in served if path == b"/inner"], Equals([]))
+
+
+def test_chunked_body_in_pieces_is_whole():
+    """The body is joined whatever the pieces."""
+    data = b"PUT /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+    parts = [data, b"3\r\nabc\r\n", b"2\r\n", b"de\r\n0\r\n\r\n"]
+    _, served = send(parts, pause=0.01)
+    assert_that(served, Equals([(b"PUT", b"/x", b"abcde")]))
+
+
+def test_requests_in_one_piece_are_answered_in_order():
+    """One at a time on a connection."""
+    data = b"".join(b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n" % n for n in range(12))
+    answer, served = send(data, work=0.002)
+    assert_that(
+        [path for _, path, _ in served], Equals([b"/%d" % n for n in range(12)])
+    )
+    assert_that(answer.count(b"HTTP/1.1 200"), Equals(12))
+
+
+def test_client_that_leaves_cancels_its_request():
+    """The task ends with the connection."""
+
+    async def run():
+        async with open_listener(5.0) as (_, writer, _, cancelled):
+            writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.05)
+            return len(cancelled)
+
+    assert_that(run_async(run), Equals(1))
