--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -16,7 +16,7 @@
 from .moves import Moves
 from .records import Records
 from .table import Route
-from .upstream import Headers
+from .upstream import CONNECTION_ONLY, Headers
 
 __all__ = ["Callers", "choose_service"]
 
@@ -29,16 +29,8 @@
 SPREAD = (0.9, 1.4)
 """Factors by which advice is spread, so that clients don't return together."""
 # What the gate sets itself, or adds from the call's fields, does not travel twice.
-_REPLACED = frozenset(
+_REPLACED = CONNECTION_ONLY | frozenset(
     {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"transfer-encoding",
-        b"content-length",
-        b"upgrade",
-        b"trailer",
-        b"te",
         b"expect",
         names.ATTEMPT_ID,
         names.DEADLINE_MS,
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -33,7 +33,15 @@
     make_attempt_id,
 )
 from .suspects import Suspects, make_fingerprint
-from .upstream import Answer, Headers, NotSent, Pool, Upstream, UpstreamFailed
+from .upstream import (
+    CONNECTION_ONLY,
+    Answer,
+    Headers,
+    NotSent,
+    Pool,
+    Upstream,
+    UpstreamFailed,
+)
 
 __all__ = ["Gate"]
 
@@ -267,14 +275,22 @@
             finally:
                 self._waiting.pop(ticket, None)
 
+    def _is_condemned(self, call: Call, now: float) -> bool:
+        """Return whether a call is known to crash its targets.
+
+        While there are no strikes, nothing needs to be hashed.
+        """
+        if self.quarantine.is_empty():
+            return False
+        return self.quarantine.judge(make_fingerprint(call), now).refuse
+
     def _commit(self, call: Call) -> str:
         """Decide for the last time before the target sees the call."""
         now = read_monotonic()
         refusal = self._check(call)
         if refusal:
             return refusal
-        fingerprint = make_fingerprint(call)
-        if self.quarantine.judge(fingerprint, now).refuse:
+        if self._is_condemned(call, now):
             return "quarantined"
         if not call.is_repeatable:
             request_id = make_attempt_id(call)
@@ -374,7 +390,7 @@
         if is_success and answer.find(names.SEAL) is None:
             self.counters.add("answers_unsealed")
             return self._give_unknown(call, "answer-unsealed")
-        if not failed:
+        if not failed and not self.quarantine.is_empty():
             self.quarantine.acquit(make_fingerprint(call))
         return Result(
             call.number,
@@ -409,24 +425,12 @@
 
 HEALTH_SECONDS = 0.5
 """Time for a health request: it may wait for a slot like any other."""
-_CONNECTION_ONLY = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"transfer-encoding",
-        b"content-length",
-        b"upgrade",
-        b"trailer",
-        b"te",
-        names.ATTEMPT_ID,
-        names.LOAD,
-    }
-)
+# The first node adds the identity again, and the load is told by the result.
+_DROPPED = CONNECTION_ONLY | {names.ATTEMPT_ID, names.LOAD}
 
 
 def _keep(headers: Headers) -> Iterable[tuple[bytes, bytes]]:
-    return (pair for pair in headers if pair[0] not in _CONNECTION_ONLY)
+    return (pair for pair in headers if pair[0] not in _DROPPED)
 
 
 def _render(call: Call, left_ms: int, instance: str) -> bytes:
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -15,6 +15,7 @@
 from ..options import Address
 
 __all__ = [
+    "CONNECTION_ONLY",
     "Answer",
     "Headers",
     "NotSent",
@@ -39,6 +40,19 @@
 """Time for which sent bytes may stay unacknowledged: idle time plus probes."""
 FIRST_FINAL_STATUS = 200
 NO_BODY_STATUSES = (204, 304)
+CONNECTION_ONLY = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"transfer-encoding",
+        b"content-length",
+        b"upgrade",
+        b"trailer",
+        b"te",
+    }
+)
+"""Headers that concern one connection; each hop frames bodies anew."""
 
 
 class NotSent(CactusError):
