Emulator: the real gates and first nodes against a drawn load; only routes that call are held back

Change: the bound is kept by route, and only for routes whose runs make calls. It falls to what was served (instead of by a fifth) and is lifted only when it holds nothing back. A call is reckoned to wait behind what goes before it, not behind the whole queue.

--- a/cactusshed/control.py
+++ b/cactusshed/control.py
@@ -17,6 +17,7 @@
     TreeView,
 )
 from .tool.duties import COMMANDS
+from .tool.emulate import emulate
 from .tool.render import (
     render_diff,
     render_explanation,
@@ -233,7 +234,7 @@
         time.sleep(every)
 
 
-for _command in (*COMMANDS, explain_request):
+for _command in (*COMMANDS, emulate, explain_request):
     main.add_command(_command)
 
 
--- /dev/null
+++ b/cactusshed/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator: the real gates and first nodes against a drawn load, in virtual time."""
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -90,9 +90,10 @@
             self.counters.add("refused_leaving")
             return self._refuse(LEAVING_RETRY_SECONDS)
         outcome = await self._run(plan)
-        if plan.call.is_inner:
-            found_no_room = outcome.result.outcome == NOT_RUN
-            self.dispatcher.gate.pressure.note_call(found_no_room)
+        if plan.parent_route:
+            refused = outcome.result.outcome == NOT_RUN
+            pressure = self.dispatcher.gate.pressure
+            pressure.note_call(plan.parent_route, refused=refused)
         return self._respond(plan, route, outcome, request)
 
     def _find_route(self, request: Request) -> Route | None:
@@ -142,6 +143,7 @@
             route.attempts,
             lambda: self.moves.choose_version(service),
             lambda version: self.moves.find_fallback(service, version),
+            parent.route if parent is not None else "",
         )
 
     async def _run(self, plan: Plan) -> Outcome:
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -45,6 +45,8 @@
     """Chooses the version that a call goes to; empty for any."""
     find_fallback: Callable[[str], str]
     """Returns the version to use when the chosen one has no room; may be empty."""
+    parent_route: str = ""
+    """Route of the request whose run makes this call; empty for a client's."""
 
 
 @attrs.define
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -14,7 +14,8 @@
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..platform import headers as names
-from ..policy.backpressure import Backpressure
+from ..policy.backpressure import CallingRoutes
+from ..policy.bound import Allowance, Bound
 from ..policy.cold import ColdGuard
 from ..policy.ledger import Entry, Ledger
 from ..policy.ledger import Standing as Known
@@ -72,7 +73,7 @@
     """Told when the target may have restarted, so that it is asked."""
     room: Room = attrs.Factory(lambda: Room(1))
     cold: ColdGuard = attrs.Factory(ColdGuard)
-    pressure: Backpressure = attrs.Factory(Backpressure)
+    pressure: CallingRoutes = attrs.Factory(CallingRoutes)
     ledger: Ledger = attrs.Factory(Ledger)
     instance: str = ""
     """Identity of the target that requests are meant for."""
@@ -124,8 +125,8 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = read_monotonic()
-            if self.pressure.step(now):
-                log_line("backpressure", rate=self.pressure.rate)
+            for route, rate in self.pressure.step(now):
+                log_line("backpressure", route=route, rate=rate)
             if self.room.waiting:
                 self._notify(self.room.expire(now))
                 self.advance()
@@ -133,33 +134,29 @@
     def advance(self) -> None:
         """Let waiting calls start as far as there is room."""
         now = read_monotonic()
-        self._notify(self.room.admit(now, *self._get_bound(now)))
+        self._notify(self.room.admit(now, self._get_bound(now)))
 
-    def _get_bound(self, now: float) -> tuple[float | None, int]:
-        """Return the starts a second that are allowed, and those allowed now."""
-        bounds = []
+    def _get_bound(self, now: float) -> Bound:
+        """Return what a cold target and the routes that are held back allow."""
+        whole = None
         if self.cold.is_cold(now):
             bucket = self.cold.bucket
-            bounds.append((bucket.rate, bucket.count(now)))
-        if self.pressure.rate is not None:
-            bounds.append((self.pressure.rate, self.pressure.count_tokens(now)))
-        if not bounds:
-            return None, 0
-        return min(rate for rate, _ in bounds), min(tokens for _, tokens in bounds)
+            whole = Allowance(bucket.rate, bucket.count(now))
+        return Bound(whole, self.pressure.list_allowances(now))
 
     def _notify(self, tickets: Iterable[Ticket]) -> None:
         for ticket in tickets:
             if ticket.standing == Standing.RUNNING:
-                self._note_start()
+                self._note_start(ticket)
             future = self._waiting.pop(ticket, None)
             if future is not None and not future.done():
                 future.set_result(None)
 
-    def _note_start(self) -> None:
+    def _note_start(self, ticket: Ticket) -> None:
         now = read_monotonic()
         if self.cold.is_cold(now):
             self.cold.bucket.take(now)
-        self.pressure.note_start(now)
+        self.pressure.note_start(ticket.route, now)
 
     async def run(self, call: Call) -> Result:
         """Run a call on the target, once it is admitted."""
@@ -264,12 +261,16 @@
 
     async def _enter(self, ticket: Ticket) -> None:
         now = read_monotonic()
-        self.room.offer(ticket, now, *self._get_bound(now))
+        bound = self._get_bound(now)
+        self.room.offer(ticket, now, bound)
         if ticket.standing == Standing.RUNNING:
-            self._note_start()
+            self._note_start(ticket)
         elif ticket.standing == Standing.WAITING:
             future = asyncio.get_running_loop().create_future()
             self._waiting[ticket] = future
+            if bound.routes:
+                # All that waits may be held back, and this one is not.
+                self.advance()
             try:
                 await future
             finally:
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -330,7 +330,7 @@
             ("gate_running", gate.room.running),
             ("gate_waiting", gate.room.waiting),
             ("gate_mean_seconds", gate.room.get_mean()),
-            ("backpressure_rate", gate.pressure.rate or 0.0),
+            ("backpressure_rate", gate.pressure.get_lowest_rate()),
             ("log_lines_suppressed", get_log().suppressed),
             ("log_lines_dropped", get_log().dropped),
         ]
--- a/cactusshed/policy/backpressure.py
+++ b/cactusshed/policy/backpressure.py
@@ -3,29 +3,31 @@
 Load pattern: a service that others call is cold or short of targets. Requests
 that are admitted in front of it hold slots, make their calls, are refused and
 fail, and the work of both services is lost. The gate of the calling target then
-admits only as many requests as lately had their calls served.
+admits, of each route whose runs make calls, only as many requests as lately had
+their calls served. Requests that make no calls are not held back.
 """
 
+from collections.abc import Iterator
+
 import attrs
 
+from .bound import Allowance
 from .cold import TokenBucket
 
-__all__ = ["Backpressure"]
+__all__ = ["Backpressure", "CallingRoutes"]
 
 STEP_SECONDS = 0.2
 """Time between two adjustments: some twenty calls of a loaded target."""
 MIN_CALLS = 4
 """Calls in a step below which their refusals say little."""
-REFUSED_SHARE = 0.08
+REFUSED_SHARE = 0.05
 """Share of refused calls at which the rate falls: two calls a request fail one
-request in six."""
-FALL = 0.8
-"""Factor by which the rate falls in a step."""
+request in ten."""
 RISE = 1.25
-"""Factor by which the rate rises in other steps: threefold in a second, as fast as
-warmed targets take more."""
-RELEASE_SECONDS = 0.8
-"""Time without refusals after which the bound is lifted."""
+"""Factor by which the rate rises in a step without refusals: threefold in a second,
+as fast as warmed targets take more."""
+RELEASE_FACTOR = 2.0
+"""A rate this many times what is asked for holds nothing back and is lifted."""
 MIN_RATE = 2.0
 """Requests a second that always pass, so that recovery is seen."""
 BURST = 3.0
@@ -33,7 +35,7 @@
 
 @attrs.define
 class Backpressure:
-    """Bound on one gate's admissions; times are monotonic seconds."""
+    """Bound on one gate's admissions of one route; times are monotonic seconds."""
 
     rate: float | None = None
     bucket: TokenBucket = attrs.Factory(lambda: TokenBucket(MIN_RATE, BURST))
@@ -41,7 +43,6 @@
     _refused: int = 0
     _starts: int = 0
     _began: float = 0.0
-    _refused_at: float = float("-inf")
 
     def note_call(self, refused: bool) -> None:
         """Count a call of the target, and whether it found no room."""
@@ -68,13 +69,12 @@
     def _adjust(self, pace: float, now: float) -> None:
         share = self._refused / self._calls if self._calls else 0.0
         if self._calls >= MIN_CALLS and share > REFUSED_SHARE:
-            self._refused_at = now
             if self.rate is None:
                 self.bucket.empty(now)
             current = pace if self.rate is None else min(pace, self.rate)
-            self._set(max(MIN_RATE, FALL * current), now)
+            self._set(max(MIN_RATE, (1 - share) * current), now)
         elif self.rate is not None:
-            if now - self._refused_at > RELEASE_SECONDS:
+            if self.rate > max(MIN_RATE, RELEASE_FACTOR * pace):
                 self.rate = None
             else:
                 self._set(self.rate * RISE, now)
@@ -86,3 +86,39 @@
     def count_tokens(self, now: float) -> int:
         """Return the admissions that may happen now, while there is a bound."""
         return self.bucket.count(now)
+
+
+@attrs.define
+class CallingRoutes:
+    """The bounds of one gate by route; only routes whose runs make calls have one."""
+
+    _bounds: dict[str, Backpressure] = attrs.Factory(dict)
+
+    def note_call(self, route: str, *, refused: bool) -> None:
+        """Count a call by a run of `route`, and whether it found no room."""
+        self._bounds.setdefault(route, Backpressure()).note_call(refused)
+
+    def note_start(self, route: str, now: float) -> None:
+        """Count an admission of `route`."""
+        bound = self._bounds.get(route)
+        if bound is not None:
+            bound.note_start(now)
+
+    def step(self, now: float) -> Iterator[tuple[str, float | None]]:
+        """Adjust the rates; yield each route whose rate changed, and that rate."""
+        for route, bound in self._bounds.items():
+            if bound.step(now):
+                yield route, bound.rate
+
+    def list_allowances(self, now: float) -> dict[str, Allowance]:
+        """Return what is allowed now to each route that is held back."""
+        return {
+            route: Allowance(bound.rate, bound.count_tokens(now))
+            for route, bound in self._bounds.items()
+            if bound.rate is not None
+        }
+
+    def get_lowest_rate(self) -> float:
+        """Return the lowest rate in force, 0 when no route is held back."""
+        rates = [b.rate for b in self._bounds.values() if b.rate is not None]
+        return min(rates, default=0.0)
--- a/cactusshed/policy/room.py
+++ b/cactusshed/policy/room.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from .bound import Bound
+
 __all__ = ["Refusal", "Room", "Standing", "Ticket"]
 
 SMOOTHING = 0.1
@@ -29,6 +31,8 @@
 MIN_RETRY_SECONDS = 0.02
 """Shortest advice to a refused client: a round trip and its connection set-up."""
 MAX_RETRY_SECONDS = 2.0
+MIN_DRAIN = 0.1
+"""Least starts a second that a wait is reckoned with; keeps it finite."""
 
 
 class Standing(Enum):
@@ -71,7 +75,7 @@
 
 
 class Room:
-    """Slots and queue of one target; `rate` bounds starts a second if set."""
+    """Slots and queue of one target."""
 
     def __init__(self, slots: int) -> None:
         """Start open and empty."""
@@ -116,59 +120,60 @@
         """Admit again."""
         self._closed = ""
 
-    def offer(self, ticket: Ticket, now: float, rate: float | None, tokens: int):
-        """Decide on `ticket`.
-
-        `rate` bounds the starts a second, and `tokens` says how many may start
-        now; `None` stands for no bound.
-        """
+    def offer(self, ticket: Ticket, now: float, bound: Bound) -> None:
+        """Decide on `ticket` within `bound`: start it, let it wait, or refuse it."""
         if self._closed:
             _refuse(ticket, Refusal(self._closed))
-        elif now >= ticket.deadline:
+        elif ticket.deadline <= now:
             _refuse(ticket, Refusal("deadline"))
-        elif self.running < self.limit and not self.waiting and self._may(rate, tokens):
+        elif (
+            self.running < self.limit
+            and not self.waiting
+            and bound.allows(ticket.route)
+        ):
+            bound.take(ticket.route)
             self._start(ticket, now)
         elif not ticket.may_wait:
-            _refuse(ticket, Refusal("target-busy", self._advise(rate)))
+            _refuse(ticket, Refusal("target-busy", self._advise(ticket, bound)))
         else:
-            self._enqueue(ticket, now, rate)
-
-    def _may(self, rate: float | None, tokens: int) -> bool:
-        return rate is None or tokens > 0
+            self._enqueue(ticket, now, bound)
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.standing = Standing.RUNNING
         ticket.started = now
         self.running += 1
 
-    def _get_drain(self, rate: float | None) -> float:
-        """Return the starts a second that the target keeps up."""
+    def _estimate_wait(self, ticket: Ticket, ahead: int, bound: Bound) -> float:
+        """Return the seconds until a start is free behind `ahead` others."""
         drain = max(1, self.limit) / self.get_mean()
-        return drain if rate is None else max(0.1, min(drain, rate))
-
-    def estimate_wait(self, ahead: int, rate: float | None) -> float:
-        """Return the seconds until a slot is free behind `ahead` others."""
-        return (ahead + 1) / self._get_drain(rate)
-
-    def _advise(self, rate: float | None) -> float:
-        wait = self.estimate_wait(self.waiting, rate)
+        if bound.whole is not None:
+            drain = max(MIN_DRAIN, min(drain, bound.whole.rate))
+        wait = (ahead + 1) / drain
+        own = bound.routes.get(ticket.route)
+        if own is None:
+            return wait
+        alike = sum(
+            entry[-1].route == ticket.route and _waits(entry[-1])
+            for entry in self._heap
+        )
+        return max(wait, (alike + 1) / max(MIN_DRAIN, own.rate))
+
+    def _advise(self, ticket: Ticket, bound: Bound) -> float:
+        wait = self._estimate_wait(ticket, self.waiting, bound)
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
 
-    def _enqueue(self, ticket: Ticket, now: float, rate: float | None) -> None:
+    def _enqueue(self, ticket: Ticket, now: float, bound: Bound) -> None:
         usual = self.get_usual(ticket.route)
-        before = self._count_before(ticket)
-        end = now + self.estimate_wait(before, rate) + usual
-        if end <= min(ticket.aim, ticket.deadline):
-            self._push(ticket, is_late=False)
-            return
-        wait = self.estimate_wait(self.waiting, rate)
+        wait = self._estimate_wait(ticket, self._count_before(ticket), bound)
         left = ticket.deadline - now
-        if ticket.is_inner and wait + usual <= left:
+        # A call that is late for its own aim may still serve its caller's.
+        end = ticket.deadline if ticket.is_inner else min(ticket.aim, ticket.deadline)
+        if now + wait + usual <= end:
             self._push(ticket, is_late=False)
         elif not self._ahead[False] and wait <= LATE_PART * left - usual:
             self._push(ticket, is_late=True)
         else:
-            _refuse(ticket, Refusal("no-room", self._advise(rate)))
+            _refuse(ticket, Refusal("no-room", self._advise(ticket, bound)))
 
     def _count_before(self, ticket: Ticket) -> int:
         """Return how many waiting requests would start before `ticket`."""
@@ -198,27 +203,38 @@
         mean = self.mean or seconds
         self.mean = mean + SMOOTHING * (seconds - mean)
 
-    def admit(self, now: float, rate: float | None, tokens: int) -> Iterator[Ticket]:
-        """Yield the waiting tickets that may start now, or that are refused."""
-        while self._heap and self.running < self.limit and self._may(rate, tokens):
-            ticket = self._pop()
-            if ticket is None:
-                return
+    def admit(self, now: float, bound: Bound) -> Iterator[Ticket]:
+        """Yield the waiting tickets that may start now, or that are refused.
+
+        A ticket whose route is held back keeps its place.
+        """
+        held = []
+        while self.running < self.limit and not bound.is_spent:
+            entry = self._pop()
+            if entry is None:
+                break
+            ticket = entry[-1]
             if self._is_doomed(ticket, now):
                 yield _refuse(ticket, Refusal("no-time"))
             elif self._misses_aim(ticket, now):
                 self._push(ticket, is_late=True)
+            elif not bound.allows(ticket.route):
+                held.append(entry)
             else:
+                bound.take(ticket.route)
                 self._start(ticket, now)
-                tokens -= 1
                 yield ticket
+        for entry in held:
+            self._ahead[entry[-1]._is_late] += 1
+            heapq.heappush(self._heap, entry)
 
-    def _pop(self) -> Ticket | None:
+    def _pop(self) -> tuple | None:
+        """Take the next entry whose ticket still waits out of the queue."""
         while self._heap:
-            ticket = heapq.heappop(self._heap)[-1]
-            if _waits(ticket):
-                self._ahead[ticket._is_late] -= 1
-                return ticket
+            entry = heapq.heappop(self._heap)
+            if _waits(entry[-1]):
+                self._ahead[entry[-1]._is_late] -= 1
+                return entry
         return None
 
     def _misses_aim(self, ticket: Ticket, now: float) -> bool:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -6,6 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from cactusshed.policy.bound import Allowance, Bound
 from cactusshed.policy.room import Room, Standing, Ticket
 
 WORK = 0.1
@@ -33,13 +34,13 @@
     while events:
         now, kind, _, ticket = heapq.heappop(events)
         if kind == 0:
-            room.offer(ticket, now, None, 0)
+            room.offer(ticket, now, Bound())
             if ticket.standing == Standing.RUNNING:
                 start(ticket, now)
         else:
             room.leave(ticket, now, is_sample=True)
             ends[id(ticket)] = now
-            for waiting in room.admit(now, None, 0):
+            for waiting in room.admit(now, Bound()):
                 if waiting.standing == Standing.RUNNING:
                     start(waiting, now)
     return [ends.get(id(ticket)) for _, ticket in arrivals]
@@ -60,7 +61,7 @@
     room = Room(10)
     for _ in range(50):
         ticket = make_ticket(0.0)
-        room.offer(ticket, 0.0, None, 0)
+        room.offer(ticket, 0.0, Bound())
         room.leave(ticket, WORK, is_sample=True)
     return room
 
@@ -98,24 +99,24 @@
     """The caller of an inner call holds a slot elsewhere."""
     running = [make_ticket(0.0) for _ in range(10)]
     for ticket in running:
-        room.offer(ticket, 0.0, None, 0)
+        room.offer(ticket, 0.0, Bound())
     outer, inner = make_ticket(0.0), make_ticket(0.0, is_inner=True)
-    room.offer(outer, 0.0, None, 0)
-    room.offer(inner, 0.0, None, 0)
+    room.offer(outer, 0.0, Bound())
+    room.offer(inner, 0.0, Bound())
     room.leave(running[0], WORK, is_sample=True)
-    assert_that(list(room.admit(WORK, None, 0)), Equals([inner]))
+    assert_that(list(room.admit(WORK, Bound())), Equals([inner]))
 
 
 def test_refusal_says_when_room_is_expected(room):
     """The advice grows with the queue."""
     for _ in range(10):
-        room.offer(make_ticket(0.0), 0.0, None, 0)
+        room.offer(make_ticket(0.0), 0.0, Bound())
     first = make_ticket(0.0, may_wait=False)
-    room.offer(first, 0.0, None, 0)
+    room.offer(first, 0.0, Bound())
     for _ in range(15):
-        room.offer(make_ticket(0.0), 0.0, None, 0)
+        room.offer(make_ticket(0.0), 0.0, Bound())
     second = make_ticket(0.0, may_wait=False)
-    room.offer(second, 0.0, None, 0)
+    room.offer(second, 0.0, Bound())
     assert_that(first.refusal.code, Equals("target-busy"))
     advice = second.refusal.retry_after
     assert_that(advice, GreaterThan(5 * first.refusal.retry_after))
@@ -124,11 +125,11 @@
 def test_closing_refuses_what_waits_and_what_comes(room):
     """A closed room lets nothing in, with the reason."""
     for _ in range(10):
-        room.offer(make_ticket(0.0), 0.0, None, 0)
+        room.offer(make_ticket(0.0), 0.0, Bound())
     waiting, late = make_ticket(0.0), make_ticket(0.0)
-    room.offer(waiting, 0.0, None, 0)
+    room.offer(waiting, 0.0, Bound())
     assert_that(room.close("target-left"), Equals([waiting]))
-    room.offer(late, 0.0, None, 0)
+    room.offer(late, 0.0, Bound())
     codes = [waiting.refusal.code, late.refusal.code]
     assert_that(codes, Equals(["target-left"] * 2))
 
@@ -136,10 +137,50 @@
 def test_request_that_can_not_end_in_time_never_starts(room):
     """A waiting request without time for its work is refused as it expires."""
     for _ in range(10):
-        room.offer(make_ticket(0.0), 0.0, None, 0)
+        room.offer(make_ticket(0.0), 0.0, Bound())
     ticket = make_ticket(0.0, aim=0.25, deadline=0.25)
-    room.offer(ticket, 0.0, None, 0)
+    room.offer(ticket, 0.0, Bound())
     assert_that(ticket.standing, Equals(Standing.WAITING))
     assert_that(list(room.expire(0.21)), Equals([ticket]))
     assert_that(ticket.refusal.code, Equals("no-time"))
     assert_that(room.waiting, Equals(0))
+
+
+def test_inner_call_waits_only_for_what_goes_before_it(room):
+    """A queue of less urgent requests is no reason to fail a caller's run."""
+    for _ in range(10):
+        room.offer(make_ticket(0.0), 0.0, Bound())
+    for _ in range(15):
+        room.offer(make_ticket(0.0, aim=0.8, rank=2), 0.0, Bound())
+    inner = make_ticket(0.0, aim=0.1, deadline=0.25, rank=1, is_inner=True)
+    room.offer(inner, 0.0, Bound())
+    assert_that(inner.standing, Equals(Standing.WAITING))
+    room._learn("", WORK)
+    room.running -= 1
+    assert_that(list(room.admit(0.01, Bound())), Equals([inner]))
+
+
+def test_route_that_is_held_back_does_not_hold_up_others(room):
+    """Requests behind it start, and it keeps its place in the queue."""
+    spent = {"calling": Allowance(5.0, 0)}
+    first = make_ticket(0.0, aim=0.8, route="calling")
+    second = make_ticket(0.0, aim=0.8, route="calling")
+    leaf = make_ticket(0.0, rank=1, route="leaf")
+    for ticket in (first, second, leaf):
+        room.offer(ticket, 0.0, Bound(None, spent))
+    assert_that(list(room.admit(0.01, Bound(None, spent))), Equals([leaf]))
+    assert_that(room.waiting, Equals(2))
+    again = Bound(None, {"calling": Allowance(5.0, 1)})
+    assert_that(list(room.admit(0.02, again)), Equals([first]))
+
+
+def test_wait_of_a_held_back_route_is_reckoned_at_its_own_rate(room):
+    """What its route can't start in time is refused on arrival, with advice."""
+    bound = Bound(None, {"calling": Allowance(2.0, 0)})
+    tickets = [make_ticket(0.0, aim=0.8, route="calling") for _ in range(3)]
+    for ticket in tickets:
+        room.offer(ticket, 0.0, bound)
+    standings = [ticket.standing for ticket in tickets]
+    expected = [Standing.WAITING, Standing.REFUSED, Standing.REFUSED]
+    assert_that(standings, Equals(expected))
+    assert_that(tickets[1].refusal.retry_after, GreaterThan(0.9))
