A cold gate reports the room that its rate leaves

Cause: first nodes reckon a gate's wait from slots, requests and usual time. A cold target has free slots, so its wait was reckoned as none although requests queue for its rate: calls went there without leave to wait, were turned away as busy, probed up to three gates and often chose the slower one.

--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -116,9 +116,17 @@
         return True
 
     def get_load(self) -> Load:
-        """Return the load that is reported with every result."""
+        """Return the load that is reported with every result.
+
+        A cold target keeps as many requests running as its rate and their usual
+        time make, also where it has more slots.
+        """
         room = self.room
-        return Load(room.running, room.waiting, room.limit, room.get_mean() * 1000)
+        mean = room.get_mean()
+        limit = room.limit
+        if self.cold.is_cold(read_monotonic()):
+            limit = max(1, min(limit, int(self.cold.bucket.rate * mean)))
+        return Load(room.running, room.waiting, limit, mean * 1000)
 
     async def tick(self) -> None:
         """Admit and expire waiting calls until cancelled."""
--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -302,3 +302,18 @@
             return runs
 
     assert_that(run_async(work), LessThan(20 * 1.5 + 5))
+
+
+def test_cold_gate_reports_the_room_that_its_rate_leaves():
+    """Load pattern: a cold target has free slots, and bears no more starts."""
+
+    async def work():
+        async with open_gate(slots=18) as opened:
+            gate = opened.gate
+            gate.room.mean = 0.1
+            warm = gate.get_load().limit
+            gate.cold.adjust(47.0, 1.5, 5.0)
+            gate.cold.doubt(gate_now())
+            return warm, gate.get_load().limit
+
+    assert_that(run_async(work), Equals((18, 6)))
