Calls of late requests go after what is in time

Cause: slow cold targets take requests that will be late (a tenth of the worth), and the calls of these runs competed equally with those of runs that can be in time. A call now has the aim of the request that makes it; once that is past it waits behind all that is in time, and backpressure then holds the slow targets back.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -123,7 +123,7 @@
             left_ms=0,
             aim_ms=0,
             route=route.name,
-            rank=parent.rank if parent is not None else route.rank,
+            rank=parent.call.rank if parent is not None else route.rank,
             service=service,
             version="",
             caller=self.service,
@@ -131,19 +131,22 @@
             is_repeat=False,
             may_have_run=False,
             is_inner=parent is not None,
-            is_of_repeat=parent is not None and parent.is_repeat,
+            is_of_repeat=parent is not None and parent.call.is_repeat,
             may_wait=True,
         )
         # A client that returns after a refusal has less time left than at first.
-        spent = longest - given
+        aim = now + route.aim - (longest - given)
+        if parent is not None:
+            # What counts is whether the request that makes the call is in time.
+            aim = parent.aim
         return Plan(
             call,
             now + min(given, route.timeout),
-            now + route.aim - spent,
+            aim,
             route.attempts,
             lambda: self.moves.choose_version(service),
             lambda version: self.moves.find_fallback(service, version),
-            parent.route if parent is not None else "",
+            parent.call.route if parent is not None else "",
         )
 
     async def _run(self, plan: Plan) -> Outcome:
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -258,7 +258,7 @@
             code = self._commit(call)
             if code:
                 return self._refuse(call, code)
-            result, answer = await self._send(call, deadline)
+            result, answer = await self._send(call, ticket)
             return result
         finally:
             was_running = ticket.standing == Standing.RUNNING
@@ -313,11 +313,12 @@
             return "over-budget"
         return ""
 
-    async def _send(self, call: Call, deadline: float) -> tuple[Result, Answer | None]:
+    async def _send(self, call: Call, ticket: Ticket) -> tuple[Result, Answer | None]:
         started = read_monotonic()
+        deadline = ticket.deadline
         instance = self.instance
         limit = deadline - started + ANSWER_GRACE_SECONDS
-        self.suspects.begin(call, started)
+        self.suspects.begin(call, ticket.aim, started)
         upstream: Upstream | None = None
         try:
             async with asyncio.timeout(limit):
--- a/cactusshed/mesh/suspects.py
+++ b/cactusshed/mesh/suspects.py
@@ -8,7 +8,7 @@
 from ..policy.quarantine import Quarantine
 from .frames import Call, Strike
 
-__all__ = ["Suspects", "make_fingerprint"]
+__all__ = ["Running", "Suspects", "make_fingerprint"]
 
 CRASH_SECONDS = 1.0
 """Time in which all requests in flight at one crash lose their connections."""
@@ -21,6 +21,15 @@
     return xxhash.xxh3_128_digest(plain)
 
 
+@attrs.frozen
+class Running:
+    """A request that is with the target, and when its answer is due."""
+
+    call: Call
+    aim: float
+    """Monotonic seconds."""
+
+
 @attrs.define
 class Suspects:
     """In flight and lately broken requests of one target.
@@ -30,19 +39,19 @@
     """
 
     quarantine: Quarantine
-    _running: dict[bytes, Call] = attrs.Factory(dict)
+    _running: dict[bytes, Running] = attrs.Factory(dict)
     _broken: list[tuple[float, Call, bool]] = attrs.Factory(list)
 
-    def begin(self, call: Call, now: float) -> None:
-        """Note that a request goes to the target."""
-        self._running[call.request_id] = call
+    def begin(self, call: Call, aim: float, now: float) -> None:
+        """Note that a request, whose answer is due at `aim`, goes to the target."""
+        self._running[call.request_id] = Running(call, aim)
         self._broken = [b for b in self._broken if now - b[0] <= CRASH_SECONDS]
 
     def end(self, call: Call) -> None:
         """Note that a request is no longer with the target."""
         self._running.pop(call.request_id, None)
 
-    def find_parent(self, request_id: bytes) -> Call | None:
+    def find_parent(self, request_id: bytes) -> Running | None:
         """Return the running request whose identity `request_id` extends, if any.
 
         Targets name their calls so; a name that no running request has begun is
--- a/cactusshed/policy/room.py
+++ b/cactusshed/policy/room.py
@@ -58,7 +58,7 @@
     """One request at the gate; `deadline` and `aim` are monotonic seconds.
 
     `rank` 0 is the most urgent; a call that a target makes (`is_inner`) has the
-    rank of the request that it serves;
+    rank and the aim of the request that it serves;
     `may_wait` is false for a request that would rather go elsewhere.
     """
 
@@ -166,10 +166,12 @@
         usual = self.get_usual(ticket.route)
         wait = self._estimate_wait(ticket, self._count_before(ticket), bound)
         left = ticket.deadline - now
-        # A call that is late for its own aim may still serve its caller's.
-        end = ticket.deadline if ticket.is_inner else min(ticket.aim, ticket.deadline)
-        if now + wait + usual <= end:
+        end = now + wait + usual
+        if end <= min(ticket.aim, ticket.deadline):
             self._push(ticket, is_late=False)
+        elif ticket.is_inner and end <= ticket.deadline:
+            # Its caller is late, but has run: it goes after all that is in time.
+            self._push(ticket, is_late=True)
         elif not self._ahead[False] and wait <= LATE_PART * left - usual:
             self._push(ticket, is_late=True)
         else:
