A node that ends leaves its row behind rather than be killed over it

Cause: a node whose target has left removes its row at the end; with the store silent that takes up to two calls of 1.2 s (a write of its own may hold the lock first), and 1.3 s are kept before the kill. Ruled out: the drain itself, which ends at the margin whatever clients do.

Change: the removal ends 0.4 s before the kill. Test: seen red (1.5 s of grace, silent store).

--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -51,6 +51,9 @@
 """Age below which a connection without a request may be about to bring one."""
 LAST_ANSWERS_SECONDS = 0.3
 """Time for the last refusals, out of the margin before SIGKILL."""
+END_SECONDS = 0.4
+"""Time for the process itself to end, out of the same margin: a scheduling period
+of a slow host and the closing of its connections."""
 LAST_TAKEN_SECONDS = 2.9
 """Time after which requests are turned away: what came before ends in the grace."""
 POLL_SECONDS = 0.02
@@ -360,7 +363,16 @@
             await asyncio.sleep(POLL_SECONDS)
         listener.close_idle()
         if self.announcements.state.has_left:
-            await self.keeper.remove_row()
+            await self._remove_row(started + self.settings.bounds.grace)
+
+    async def _remove_row(self, killed_at: float) -> None:
+        """Remove the own row, unless the store takes too long for that."""
+        left = killed_at - END_SECONDS - read_monotonic()
+        try:
+            async with asyncio.timeout(left):
+                await self.keeper.remove_row()
+        except TimeoutError:
+            log_line("row-not-removed", cause="no time left before the kill")
 
     def _is_busy(self, listener: Listener) -> bool:
         return bool(listener.count_busy() or self.inbound.running)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -433,3 +434,25 @@
             return exposed
 
     assert_that(run_async(work), LessThan(60))
+
+
+def test_node_ends_within_its_grace_while_the_store_is_silent():
+    """It leaves its row behind rather than be killed over it."""
+
+    async def work():
+        async with open_fleet("n1") as (fleet, (node,)):
+            assert_that(await node.tell("instances.leave"), Equals(200))
+            fleet.store.fault = "silent"
+            node.sidecar.keeper.want_row()
+            node.sidecar.announcements.set_state(slots=5)
+            await asyncio.sleep(0.1)
+            bounds = attrs.evolve(node.settings.bounds, grace=1.5)
+            node.sidecar.settings = attrs.evolve(node.settings, bounds=bounds)
+            try:
+                async with asyncio.timeout(1.5):
+                    await node.end()
+            except TimeoutError:
+                return False
+            return True
+
+    assert_that(run_async(work), Equals(True))
