--- a/cactusshed/emulator/world.py
+++ b/cactusshed/emulator/world.py
@@ -14,7 +14,7 @@
 from ..mesh.frames import Call, Result, TargetState
 from ..mesh.gate import Gate
 from ..mesh.link import LinkLost
-from ..mesh.listener import Request, Response
+from ..mesh.messages import Request, Response
 from ..mesh.suspects import Suspects
 from ..mesh.table import Limits, Part, Route, Table, build_table
 from ..mesh.table import Service as KnownService
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -21,7 +21,7 @@
 )
 from .frames import Strike, TargetState
 from .gate import Gate
-from .listener import Request, Response, make_response
+from .messages import Request, Response, make_response
 from .records import Records
 from .suspects import Suspects
 
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -12,7 +12,7 @@
 from ..platform import headers as names
 from .dispatch import Dispatcher, Outcome, Plan
 from .frames import ANSWERED, NOT_RUN, Call, Result
-from .listener import Request, Response, make_response
+from .messages import Request, Response, make_response
 from .moves import Moves
 from .records import Records
 from .table import Route
--- /dev/null
+++ b/cactusshed/mesh/connection.py
@@ -0,0 +1,243 @@
+"""One client connection over HTTP/1.1: strict parsing within limits.
+
+One request is served at a time; its task is cancelled when the client closes the
+connection.
+"""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import httptools
+
+from .messages import Request, Response, make_response
+from .upstream import Headers
+
+if TYPE_CHECKING:
+    from .listener import Listener
+
+__all__ = ["Connection"]
+
+LINGER_SECONDS = 0.5
+"""Time to drop what a client still sends, so that it reads the refusal."""
+MAX_PIPELINED = 8
+"""Requests read ahead on one connection before reading pauses."""
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Connection(asyncio.Protocol):
+    """One client connection."""
+
+    def __init__(self, listener: "Listener") -> None:
+        """Belong to `listener`."""
+        self._listener = listener
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._requests: deque[tuple[Request, bool]] = deque()
+        self._task: asyncio.Task | None = None
+        self._is_dropping = False
+        self._is_paused = False
+        self._reset()
+        self.head_bytes = 0
+        self.idle_since = 0.0
+        self.began: float | None = None
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: Headers = []
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._in_body = False
+        self._refusal = 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being served."""
+        return self._task is not None
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether part of a request has arrived."""
+        return self.began is not None
+
+    def connection_made(self, transport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        self.idle_since = self._listener.loop.time()
+        self._listener.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the request that is being served: nobody waits for it."""
+        self._listener.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+        self._requests.clear()
+
+    def eof_received(self) -> bool:
+        """Treat the end of what a client sends as its leaving."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived within the limits."""
+        if self._is_dropping:
+            return
+        if self.began is None:
+            self.began = self._listener.loop.time()
+        if not self._in_body:
+            self.head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(self._refusal or 400)
+        else:
+            limit = self._listener.limits().header_bytes
+            if not self._in_body and self.began and self.head_bytes > limit:
+                self._refuse(431)
+
+    # What the parser reports.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self.began = self.began or self._listener.loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head against the limits before the body arrives."""
+        self._in_body = True
+        limits = self._listener.limits()
+        size = len(self._url) + sum(len(k) + len(v) + 4 for k, v in self._headers)
+        if size > limits.header_bytes:
+            self._stop(431)
+        hosts = [value for name, value in self._headers if name == b"host"]
+        if len(hosts) > 1:
+            self._stop(400)
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > limits.body_bytes:
+                self._stop(413)
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _stop(self, status: int) -> None:
+        self._refusal = status
+        raise ValueError(status)
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self._size += len(data)
+        if self._size > self._listener.limits().body_bytes:
+            self._stop(413)
+        self._chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        request = Request(
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            b"".join(self._chunks),
+            self._listener.loop.time(),
+        )
+        keeps = self._parser.should_keep_alive()
+        self._requests.append((request, keeps))
+        self._in_body = False
+        self.head_bytes = 0
+        self.began = None
+        self._reset()
+        if self._task is None:
+            self._serve_next()
+        elif len(self._requests) >= MAX_PIPELINED and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _serve_next(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+        request, keeps = self._requests.popleft()
+        self._task = self._listener.loop.create_task(self._run(request, keeps))
+
+    async def _run(self, request: Request, keeps: bool) -> None:
+        response = await self._listener.serve(request)
+        self._task = None
+        self.idle_since = self._listener.loop.time()
+        keeps = keeps and not self._listener.is_closing
+        self._write(response, keeps=keeps, is_head=request.method == b"HEAD")
+        if not keeps:
+            self._requests.clear()
+            self._end()
+        elif self._requests:
+            self._serve_next()
+
+    def _write(self, response: Response, *, keeps: bool, is_head: bool = False) -> None:
+        status = response.status
+        reason = REASONS.get(status, "Status")
+        lines = [f"HTTP/1.1 {status} {reason}".encode()]
+        lines.extend(name + b": " + value for name, value in response.headers)
+        if not (is_head and _has_length(response.headers)):
+            lines.append(b"content-length: %d" % len(response.body))
+        if not keeps:
+            lines.append(b"connection: close")
+        body = b"" if is_head else response.body
+        self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    def _refuse(self, status: int) -> None:
+        """Answer what can't be read, once what came before it is answered."""
+        self._is_dropping = True
+        self._listener.on_refused(status)
+        if self._task is not None or self._requests:
+            # The answer in progress must stay whole; the connection ends after it.
+            self._requests.clear()
+            self._listener.loop.call_later(LINGER_SECONDS, self.close_when_idle)
+            return
+        self._write(make_response(status), keeps=False)
+        self._end()
+
+    def _end(self) -> None:
+        """Close once the client has read the answer or has stopped sending."""
+        self._is_dropping = True
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._listener.loop.call_later(LINGER_SECONDS, self._transport.close)
+
+    def time_out(self) -> None:
+        """Refuse a request that arrives too slowly."""
+        if not self._is_dropping:
+            self._refuse(408)
+
+    def close_when_idle(self) -> None:
+        """Close the connection unless a request is on its way."""
+        if self._task is None and not self._requests:
+            self._transport.close()
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether part of a request was read."""
+        return self.began is not None or bool(self._requests)
+
+
+def _has_length(headers: Headers) -> bool:
+    return any(name == b"content-length" for name, _ in headers)
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -13,7 +13,8 @@
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
 from .gate import FAILED_STATUS, Gate
 from .link import LinkLost
-from .peers import Member, Peers
+from .member import Member
+from .peers import Peers
 
 __all__ = ["Dispatcher", "Outcome", "Plan"]
 
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -33,13 +33,13 @@
     Settle,
     make_attempt_id,
 )
+from .pool import Pool
 from .suspects import Suspects, make_fingerprint
 from .upstream import (
     CONNECTION_ONLY,
     Answer,
     Headers,
     NotSent,
-    Pool,
     Upstream,
     UpstreamFailed,
 )
--- /dev/null
+++ b/cactusshed/mesh/messages.py
@@ -0,0 +1,44 @@
+"""Requests and answers of HTTP, as the listeners hand them over."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import attrs
+
+from .upstream import Headers
+
+__all__ = ["Request", "Response", "Serve", "make_response"]
+
+
+@attrs.define(eq=False)
+class Request:
+    """One request; `path` is the raw request target, names are lower case."""
+
+    method: bytes
+    path: bytes
+    headers: Headers
+    body: bytes
+    arrived: float
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of the first header `name`, or `None`."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@attrs.define
+class Response:
+    """A whole answer to a request."""
+
+    status: int
+    headers: Headers = attrs.Factory(list)
+    body: bytes = b""
+
+
+Serve = Callable[[Request], Awaitable[Response]]
+
+
+def make_response(status: int, body: bytes = b"", headers: Iterable = ()) -> Response:
+    """Return an answer of this system's own."""
+    return Response(status, [(b"content-type", b"application/json"), *headers], body)
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -1,21 +1,21 @@
-"""The other nodes: who they are, links to them, and calls on their way there."""
+"""The other nodes: who they are, and the links to them."""
 
 import asyncio
 import itertools
 import random
 from collections.abc import Callable
 
-import attrs
-
 from ..clock import read_monotonic
 from ..observe.counters import Counters
 from ..observe.lines import log_line
-from ..options import Address, BadOption, parse_address
+from ..options import BadOption, parse_address
 from ..policy.place import LoadView
-from .frames import Call, Cancel, Frame, Hello, News, Ping, Result, Settle, TargetState
+from .frames import Call, Frame, Hello, News, Result, Settle, TargetState
 from .link import Link, LinkLost, dial_link
+from .member import Member
+from .pending import PendingCalls
 
-__all__ = ["Member", "Peers"]
+__all__ = ["Peers"]
 
 FIRST_REDIAL_SECONDS = 0.1
 LAST_REDIAL_SECONDS = 1.0
@@ -24,45 +24,9 @@
 """Time without a link after which a node that is not in the store is dropped."""
 HELLO_SECONDS = 1.0
 """Time for the other side's hello on a new link."""
-SWEEP_SECONDS = 0.1
-QUIET_SECONDS = 0.3
-"""Silence with a call on its way after which a sign of life is asked for."""
-DEAD_SECONDS = 0.5
-"""Further silence after which the link is given up: a hundred round trips."""
 SETTLE_PAUSE_SECONDS = 0.05
 
 
-@attrs.define(eq=False)
-class Member:
-    """Another node; `born` tells its lives apart."""
-
-    node: str
-    address: Address
-    data_centre: str = ""
-    service: str = ""
-    born: int = 0
-    state: TargetState = attrs.Factory(TargetState)
-    remembered: TargetState = attrs.Factory(TargetState)
-    """The last state in which the node knew its target, for its next life."""
-    changed: int = 0
-    version: int = 0
-    link_mbps: float = 0.0
-    is_leaving: bool = False
-    link: Link | None = None
-    is_up: bool = False
-    view: LoadView = attrs.Factory(LoadView)
-    seen: float = attrs.Factory(read_monotonic)
-    greeted: asyncio.Event = attrs.Factory(asyncio.Event)
-    woken: asyncio.Event = attrs.Factory(asyncio.Event)
-
-
-@attrs.define(eq=False)
-class _Pending:
-    future: asyncio.Future
-    link: Link
-    sent: float
-
-
 class Peers:
     """Members, links and the calls that wait for a result."""
 
@@ -84,7 +48,7 @@
         self._on_greeted = on_greeted
         self._counters = counters
         self._numbers = itertools.count(1)
-        self._pending: dict[int, _Pending] = {}
+        self.pending = PendingCalls()
         self._by_link: dict[Link, Member] = {}
         self._accepted: set[Link] = set()
         self._tasks: dict[str, asyncio.Task] = {}
@@ -191,12 +155,7 @@
     def _lose(self, link: Link) -> None:
         self._accepted.discard(link)
         member = self._by_link.pop(link, None)
-        for number, pending in list(self._pending.items()):
-            if pending.link is link:
-                del self._pending[number]
-                if not pending.future.done():
-                    error = LinkLost("link lost", step="call", peer=link.peer)
-                    pending.future.set_exception(error)
+        self.pending.fail(link)
         if member is None or member.link is not link:
             return
         if member.is_up:
@@ -215,7 +174,7 @@
     def handle(self, link: Link, frame: Frame) -> None:
         """Take in one frame from a link, dialled by either side."""
         if isinstance(frame, Result):
-            self._take_result(frame)
+            self.pending.take_result(frame)
         elif isinstance(frame, Hello):
             self._take_hello(link, frame)
         elif isinstance(frame, News):
@@ -286,27 +245,7 @@
         Cancelling tells the other node that nobody waits any longer.
         """
         call.number = next(self._numbers)
-        return await self._ask(member, call)
-
-    async def _ask(self, member: Member, frame: Call | Settle) -> Result:
-        link = member.link
-        if link is None or not member.is_up or not link.send(frame):
-            raise LinkLost("no link", step="call", peer=member.node)
-        future = asyncio.get_running_loop().create_future()
-        pending = _Pending(future, link, asyncio.get_running_loop().time())
-        self._pending[frame.number] = pending
-        try:
-            return await future
-        except asyncio.CancelledError:
-            link.send(Cancel(frame.number))
-            raise
-        finally:
-            self._pending.pop(frame.number, None)
-
-    def _take_result(self, result: Result) -> None:
-        pending = self._pending.get(result.number)
-        if pending is not None and not pending.future.done():
-            pending.future.set_result(result)
+        return await self.pending.ask(member, call)
 
     async def settle(
         self, member: Member, born: int, call: Call, deadline: float
@@ -325,34 +264,9 @@
                 asked = Settle(number, call.request_id, call.attempt, left_ms)
                 try:
                     async with asyncio.timeout(left):
-                        return await self._ask(member, asked)
+                        return await self.pending.ask(member, asked)
                 except (LinkLost, TimeoutError):
                     continue
             member.woken.set()
             await asyncio.sleep(SETTLE_PAUSE_SECONDS)
         return None
-
-    async def sweep(self) -> None:
-        """Ask silent links with calls on their way for a sign of life."""
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(SWEEP_SECONDS)
-            now = loop.time()
-            oldest: dict[Link, float] = {}
-            for pending in self._pending.values():
-                sent = min(oldest.get(pending.link, now), pending.sent)
-                oldest[pending.link] = sent
-            for link, sent in oldest.items():
-                _check_link(link, sent, now)
-
-
-def _check_link(link: Link, sent: float, now: float) -> None:
-    quiet = now - max(sent, link.heard_at)
-    if quiet > QUIET_SECONDS + DEAD_SECONDS:
-        log_line("peer-silent", member=link.peer, seconds=round(quiet, 2))
-        link.close()
-    elif quiet > QUIET_SECONDS and not link.is_asked:
-        link.is_asked = True
-        link.send(Ping())
-    elif quiet <= QUIET_SECONDS:
-        link.is_asked = False
--- /dev/null
+++ b/cactusshed/mesh/pending.py
@@ -0,0 +1,92 @@
+"""Calls on their way to other nodes, and links that fall silent under them."""
+
+import asyncio
+
+import attrs
+
+from ..observe.lines import log_line
+from .frames import Call, Cancel, Ping, Result, Settle
+from .link import Link, LinkLost
+from .member import Member
+
+__all__ = ["PendingCalls"]
+
+SWEEP_SECONDS = 0.1
+QUIET_SECONDS = 0.3
+"""Silence with a call on its way after which a sign of life is asked for."""
+DEAD_SECONDS = 0.5
+"""Further silence after which the link is given up: a hundred round trips."""
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    future: asyncio.Future
+    link: Link
+    sent: float
+
+
+class PendingCalls:
+    """Calls by number, each waiting for its result."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._pending: dict[int, _Waiting] = {}
+
+    async def ask(self, member: Member, frame: Call | Settle) -> Result:
+        """Send a call or a question and return its result; raise `LinkLost`.
+
+        Cancelling tells the other node that nobody waits any longer.
+        """
+        link = member.link
+        if link is None or not member.is_up or not link.send(frame):
+            raise LinkLost("no link", step="call", peer=member.node)
+        future = asyncio.get_running_loop().create_future()
+        pending = _Waiting(future, link, asyncio.get_running_loop().time())
+        self._pending[frame.number] = pending
+        try:
+            return await future
+        except asyncio.CancelledError:
+            link.send(Cancel(frame.number))
+            raise
+        finally:
+            self._pending.pop(frame.number, None)
+
+    def take_result(self, result: Result) -> None:
+        """Hand a result to whoever waits for it."""
+        pending = self._pending.get(result.number)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(result)
+
+    def fail(self, link: Link) -> None:
+        """Fail the calls that were sent over a link that has ended."""
+        for number, pending in list(self._pending.items()):
+            if pending.link is link:
+                del self._pending[number]
+                if not pending.future.done():
+                    error = LinkLost("link lost", step="call", peer=link.peer)
+                    pending.future.set_exception(error)
+
+    async def sweep(self) -> None:
+        """Ask silent links with calls on their way for a sign of life."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            now = loop.time()
+            oldest: dict[Link, float] = {}
+            for pending in self._pending.values():
+                sent = min(oldest.get(pending.link, now), pending.sent)
+                oldest[pending.link] = sent
+            for link, sent in oldest.items():
+                _check_link(link, sent, now)
+
+
+def _check_link(link: Link, sent: float, now: float) -> None:
+    quiet = now - max(sent, link.heard_at)
+    if quiet > QUIET_SECONDS + DEAD_SECONDS:
+        log_line("peer-silent", member=link.peer, seconds=round(quiet, 2))
+        link.close()
+    elif quiet > QUIET_SECONDS and not link.is_asked:
+        link.is_asked = True
+        link.send(Ping())
+    elif quiet <= QUIET_SECONDS:
+        link.is_asked = False
--- /dev/null
+++ b/cactusshed/mesh/pool.py
@@ -0,0 +1,57 @@
+"""Idle connections to one address, kept for as long as the other side keeps them."""
+
+import asyncio
+from collections import deque
+
+from ..options import Address
+from .upstream import Upstream, open_upstream
+
+__all__ = ["Pool"]
+
+SAFE_KEEP_PART = 0.7
+"""Part of the announced keep-alive time for which a connection is used again."""
+DEFAULT_KEEP_SECONDS = 4.0
+"""Idle time when the other side announces none; common servers close at 5 s."""
+CAREFUL_SECONDS = 1.0
+"""Idle time above which a request that can't be repeated gets a new connection."""
+
+
+class Pool:
+    """Idle connections to one address, newest first."""
+
+    def __init__(self, address: Address, identity: bytes) -> None:
+        """Start without connections."""
+        self.address = address
+        self.opened = 0
+        self._identity = identity
+        self._idle: deque[Upstream] = deque()
+
+    async def take(self, *, is_careful: bool) -> Upstream:
+        """Return a connection, used before or new; raise `NotSent`."""
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            upstream = self._idle.pop()
+            if not upstream.is_usable():
+                continue
+            keep = upstream.keep_seconds
+            limit = DEFAULT_KEEP_SECONDS if keep is None else keep * SAFE_KEEP_PART
+            idle = now - upstream.idle_since
+            if idle > limit:
+                upstream.abort()
+                continue
+            if is_careful and idle > CAREFUL_SECONDS:
+                self._idle.append(upstream)
+                break
+            return upstream
+        self.opened += 1
+        return await open_upstream(self.address, self._identity)
+
+    def give_back(self, upstream: Upstream) -> None:
+        """Keep a connection for another request, if it can serve one."""
+        if upstream.is_usable():
+            self._idle.append(upstream)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().abort()
--- a/cactusshed/mesh/relay.py
+++ b/cactusshed/mesh/relay.py
@@ -17,7 +17,8 @@
 from ..observe.lines import log_line
 from .frames import Beat, Frame, Pull, Update
 from .link import Link
-from .peers import Member, Peers
+from .member import Member
+from .peers import Peers
 from .records import Records
 
 __all__ = ["Relay"]
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -24,17 +24,19 @@
 from .gate import Gate
 from .inbound import Inbound
 from .link import Link, serve_links
-from .listener import Listener, Request, Response, make_response
+from .listener import Listener
+from .member import Member
+from .messages import Request, Response, make_response
 from .movekeeper import MoveKeeper
 from .moves import Moves
-from .peers import Member, Peers
+from .peers import Peers
+from .pool import Pool
 from .records import Records
 from .relay import Relay
 from .storekeeper import Storekeeper
 from .supervision import Task, keep_running
 from .suspects import Suspects
 from .table import EMPTY_TABLE
-from .upstream import Pool
 
 __all__ = ["Sidecar"]
 
@@ -265,7 +267,7 @@
             self.announcements.ask,
             self.announcements.watch,
             self.gate.tick,
-            self.peers.sweep,
+            self.peers.pending.sweep,
             self.relay.run,
             *(listener.sweep for listener in listeners),
         ]
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -15,7 +15,8 @@
     Malformed,
     PlatformUnavailable,
 )
-from ..mesh.upstream import Answer, NotSent, Pool, UpstreamFailed
+from ..mesh.pool import Pool
+from ..mesh.upstream import Answer, NotSent, UpstreamFailed
 from ..observe.counters import Counters
 from ..options import Address
 
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -7,7 +7,8 @@
 import attrs
 import msgspec
 
-from cactusshed.mesh.listener import Listener, Request, Response, make_response
+from cactusshed.mesh.listener import Listener
+from cactusshed.mesh.messages import Request, Response, make_response
 from cactusshed.mesh.table import Limits
 from cactusshed.options import Address
 
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -8,8 +8,8 @@
 from cactusshed.mesh.evidence import EvidenceBook
 from cactusshed.mesh.frames import Call
 from cactusshed.mesh.gate import Gate
+from cactusshed.mesh.pool import Pool
 from cactusshed.mesh.suspects import Suspects
-from cactusshed.mesh.upstream import Pool
 from cactusshed.observe.counters import Counters
 from cactusshed.platform import headers as names
 from cactusshed.policy.quarantine import Quarantine
--- a/tests/test_listener_mesh.py
+++ b/tests/test_listener_mesh.py
@@ -7,7 +7,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, StartsWith
 
-from cactusshed.mesh.listener import Listener, Response
+from cactusshed.mesh.listener import Listener
+from cactusshed.mesh.messages import Response
 from cactusshed.mesh.table import Limits
 from standins.meshfleet import find_port
 
