--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -95,6 +95,8 @@
         if done and closing.result() == b"":
             return False
         closing.cancel()
+        # Until it has ended nobody else may read from the connection.
+        await asyncio.wait([closing])
         return True
 
     def _answer(self, writer, word, headers) -> bool:
