Load tool: a request's time is when it was sent

Requests counted as sent before the return were sent after it. Ruled out: the node; the requests reached it after the return was in force.

Change: the time is that of httpcore's send_request_headers.started. The check and its bounds stay; both of its limits now mean what they say.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -13,6 +13,8 @@
 
 TIMEOUT_SECONDS = 15.0
 MAX_SECONDS = 120.0
+SENDING = "http11.send_request_headers.started"
+"""What httpcore tells as the first byte of a request goes out."""
 _LOST = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
@@ -30,6 +32,8 @@
 class Result:
     """What came of one shot; `at` counts from the start of the load, in seconds.
 
+    It is the time at which the request was sent: a busy load may hold a shot back
+    for seconds. `seconds` is the time from then to the whole answer.
     `status` is 0 when no whole answer came. `run` is the system's own word on
     the call: `answered`, `not-run`, `unknown`, or empty without an answer.
     """
@@ -44,30 +48,36 @@
     version: str = ""
 
 
-async def _fire(pool, url: str, shot: Shot, at: float, keep) -> None:
+async def _fire(pool, url: str, shot: Shot, began: float, keep) -> None:
+    """Send one shot of a load that began at `began`, in monotonic seconds."""
     headers = {"cactusshed-tenant": "load"}
     if shot.key:
         headers["idempotency-key"] = shot.key
     limits = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_SECONDS)
-    started = time.monotonic()
+    sent = [time.monotonic()]
+
+    async def note_sending(event: str, _info: dict) -> None:
+        if event == SENDING:
+            sent[0] = time.monotonic()
+
     try:
         answer = await pool.request(
             shot.method,
             url + shot.path,
             headers=headers,
             content=shot.body,
-            extensions={"timeout": limits},
+            extensions={"timeout": limits, "trace": note_sending},
         )
     except _LOST:
-        keep(Result(shot, at, time.monotonic() - started, 0))
+        keep(Result(shot, sent[0] - began, time.monotonic() - sent[0], 0))
         return
-    took = time.monotonic() - started
+    took = time.monotonic() - sent[0]
     found = {k.decode().lower(): v.decode("latin-1") for k, v in answer.headers}
     said = _decode(answer.content) if answer.status == 200 else {}
     keep(
         Result(
             shot,
-            at,
+            sent[0] - began,
             took,
             answer.status,
             found.get("cactusshed-run", ""),
@@ -104,10 +114,9 @@
             if now >= seconds:
                 break
             while count < now * rate:
-                at = time.monotonic() - started
                 index = count % len(urls)
                 shot = make_shot(count)
-                tasks.start_soon(_fire, pools[index], urls[index], shot, at, keep)
+                tasks.start_soon(_fire, pools[index], urls[index], shot, started, keep)
                 count += 1
             await anyio.sleep(min(0.01, 1.0 / rate))
     for pool in pools:
