One death of a target is one strike for a request, however many looked alike

Cause: each request that broke got a strike of its own, so three alike in flight at one death were condemned for five minutes. Besides, the last of several to break counted as having been alone, which makes two deaths enough. Ruled out: the target (it was back and open), acquittal (nothing that is refused can be answered).

Change: strikes are counted by death and fingerprint; alone is only what broke by itself. Test seen red.

--- a/cactusshed/mesh/suspects.py
+++ b/cactusshed/mesh/suspects.py
@@ -65,13 +65,19 @@
         self._broken.append((now, call, len(self._running) == 1))
 
     def condemn(self, now: float) -> list[Strike]:
-        """Return the strikes once the target is known to have died."""
+        """Return the strikes once the target is known to have died.
+
+        One death is one strike for a fingerprint, however many requests that look
+        alike were in flight. Only one that broke by itself was alone: of several,
+        the last to break is the only one left.
+        """
+        broken = [b for b in self._broken if now - b[0] <= CRASH_SECONDS]
+        self._broken.clear()
+        is_alone = len(broken) == 1 and broken[0][2]
         strikes = [
-            Strike(make_fingerprint(call), random.randbytes(STRIKE_BYTES), alone)
-            for at, call, alone in self._broken
-            if now - at <= CRASH_SECONDS
+            Strike(fingerprint, random.randbytes(STRIKE_BYTES), is_alone)
+            for fingerprint in dict.fromkeys(make_fingerprint(b[1]) for b in broken)
         ]
-        self._broken.clear()
         for strike in strikes:
             self.take(strike, now)
         return strikes
--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -317,3 +317,20 @@
             return warm, gate.get_load().limit
 
     assert_that(run_async(work), Equals((18, 6)))
+
+
+def test_one_death_is_one_strike_however_many_look_alike():
+    """Load pattern: many callers read the same page as its target dies once."""
+
+    async def work():
+        async with open_gate(slots=5, work=0.05) as opened:
+            gate = opened.gate
+            opened.target.script["/a/"] = "reset"
+            calls = [make_call(f"r{n}") for n in range(5)]
+            await asyncio.gather(*(gate.run(call) for call in calls))
+            strikes = gate.suspects.condemn(gate_now())
+            opened.target.script.clear()
+            result = await gate.run(make_call("r9"))
+            return len(strikes), strikes[0].is_alone, result.outcome
+
+    assert_that(run_async(work), Equals((1, False, ANSWERED)))
