Gossip test: probes wait as long as the settings say

Cause of the red test_many_senders_at_once: on a busy machine its 400 datagrams take 0.18 to 0.23 s of processing, and the test's own interval of 0.05 s, the shortest that may be set, leaves a probe 0.15 s (trace of six runs beside six busy loops: none unsent, none refused, every answer came, the event loop stalled for at most 0.09 s; six of six suspected two members). Ruled out: tasks that fail each other's sends, which the test is about.

The test uses the default interval, and checks besides that no datagram is unsent.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -15,6 +15,8 @@
 from standins.process import choose_port
 
 SECRET = "gossip-secret"
+PROBE_SECONDS = 0.5
+"""The default of the setting; the shortest that may be set is a tenth of it."""
 
 
 def make_member(name, port, **changes):
@@ -36,6 +38,7 @@
     Before the outbox this ended the task with BusyResourceError.
     """
     first, second = (make_gossip(n, choose_port(), counters, rng) for n in "ab")
+    first.interval = second.interval = PROBE_SECONDS
     first.view.merge(second.view.own, 0.0)
     second.view.merge(first.view.own, 0.0)
 
@@ -52,6 +55,7 @@
 
     anyio.run(run)
     assert_that(counters.get("datagrams_sent"), GreaterThan(200))
+    assert_that(counters.get("datagrams_unsent"), Equals(0))
     assert_that(counters.get("members_suspected"), Equals(0))
 
 
