--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,7 @@
 from .clients import DEADLINE_SECONDS, Record
 from .faults import Injury
 from .fleet import (
+    APPLY_SECONDS,
     COLD_FACTOR,
     COLD_RATE,
     COLD_SLACK,
@@ -43,6 +44,8 @@
     records: list[Record]
     injuries: list[Injury]
     evacuations: list[tuple[str, float, float]]
+    added: dict[str, float] = attrs.Factory(dict)
+    """Routes that were added, and when."""
 
     @property
     def targets(self) -> list[SoakTarget]:
@@ -120,7 +123,7 @@
 
 
 def _check_configuration(seen: Evidence) -> Iterator[Finding]:
-    """One life of a node never refuses a route that it has served before."""
+    """Find routes that one life of a node refuses after it has served them."""
     served: dict[tuple[str, int, str], float] = {}
     for record in sorted(seen.records, key=lambda record: record.sent):
         key = (record.node, record.life, record.path)
@@ -131,8 +134,19 @@
             yield Finding("no-return", text)
 
 
+def _check_in_force(seen: Evidence) -> Iterator[Finding]:
+    """Find routes that were added and not known in time, with nothing disturbed."""
+    for record in seen.records:
+        added = seen.added.get(record.path.split("/")[1], float("inf"))
+        if record.status != 404 or record.sent <= added + APPLY_SECONDS:
+            continue
+        if not _is_disturbed(seen, attrs.evolve(record, sent=added)):
+            text = f"{record.request}: {record.path} after {record.sent - added:.2f} s"
+            yield Finding("in-force", text)
+
+
 def _check_lost(seen: Evidence) -> Iterator[Finding]:
-    """Planned work alone costs no client its answer."""
+    """Find answers that were lost though only planned work was done."""
     for record in seen.records:
         if record.status or not record.was_sent or not record.ended:
             continue
@@ -142,7 +156,7 @@
 
 
 def _check_recovery(seen: Evidence) -> Iterator[Finding]:
-    """Once the faults are over, the fleet serves nearly everything."""
+    """Find whether too little is served once the faults are over."""
     over = max((i.ended for i in seen.injuries), default=0.0) + CALM_SECONDS
     after = [r for r in seen.records if r.sent > over and r.ended]
     if not after:
@@ -184,6 +198,7 @@
         _check_evacuations,
         _check_cold,
         _check_configuration,
+        _check_in_force,
         _check_lost,
         _check_recovery,
     )
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -50,8 +50,8 @@
     def __init__(self, fleet: Fleet, rng: random.Random) -> None:
         """Send to the nodes of `fleet`."""
         self.records: list[Record] = []
-        self.added: list[str] = []
-        """Names of routes that were added, the oldest first."""
+        self.added: dict[str, float] = {}
+        """Routes that were added, the oldest first, and when in monotonic seconds."""
         self._fleet = fleet
         self._rng = rng
         self._numbers = itertools.count(1)
@@ -82,7 +82,7 @@
 
     def _choose_path(self) -> str:
         paths = ["/read/x", "/read/y", "/write/z"]
-        paths.extend(f"/{name}/x" for name in self.added[-2:])
+        paths.extend(f"/{name}/x" for name in list(self.added)[-2:])
         return self._rng.choice(paths)
 
     async def _request(self, node: Node, kept: dict[str, Upstream]) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -195,8 +195,9 @@
 
 async def _add_route(injector: Injector, _node: Node) -> None:
     name = f"v{injector.fleet.version}"
-    injector.clients.added.append(name)
+    injector.clients.added[name] = float("inf")
     await _configure(injector, _node)
+    injector.clients.added[name] = time.monotonic()
 
 
 async def _evacuate(injector: Injector, node: Node) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,7 +19,14 @@
 from .proxy import FaultProxy
 from .target import SoakTarget
 
-__all__ = ["DRAIN_SECONDS", "EVACUATION_SECONDS", "GRACE_SECONDS", "Fleet", "Node"]
+__all__ = [
+    "APPLY_SECONDS",
+    "DRAIN_SECONDS",
+    "EVACUATION_SECONDS",
+    "GRACE_SECONDS",
+    "Fleet",
+    "Node",
+]
 
 DRAIN_SECONDS = 2.0
 EVACUATION_SECONDS = 5.0
--- a/soak/play.py
+++ b/soak/play.py
@@ -64,7 +64,13 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    seen = Evidence(fleet, clients.records, injector.injuries, injector.evacuations)
+    seen = Evidence(
+        fleet,
+        clients.records,
+        injector.injuries,
+        injector.evacuations,
+        clients.added,
+    )
     faults: dict[str, int] = {}
     for injury in injector.injuries:
         faults[injury.kind] = faults.get(injury.kind, 0) + 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,7 +36,9 @@
         self.nodes = [self]
 
 
-def make_evidence(records=(), runs=(), injuries=(), evacuations=(), leaves=()):
+def make_evidence(
+    records=(), runs=(), injuries=(), evacuations=(), leaves=(), added=()
+):
     """Return evidence of one target in the data centre `dc`."""
     target = SoakTarget(node="n", data_centre="dc")
     target.log = list(runs)
@@ -47,7 +49,9 @@
     # Planned work excuses nothing, and recovery is checked after its end.
     harmless = Injury("hup", "n", 0.0, 500.0)
     injuries = [*injuries, harmless]
-    return Evidence(_Seen(target), [*records, last], injuries, list(evacuations))
+    return Evidence(
+        _Seen(target), [*records, last], injuries, list(evacuations), dict(added)
+    )
 
 
 def make_record(request="r", path="/read/x", status=200, body=None, **fields):
@@ -114,6 +118,13 @@
                 ],
             },
         ),
+        (
+            "in-force",
+            {
+                "records": [make_record(path="/v4/x", status=404)],
+                "added": [("v4", 7.5)],
+            },
+        ),
         (
             "lost",
             {
