--- a/cactusshed/emulator/clients.py
+++ b/cactusshed/emulator/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Iterator
 
 import attrs
 
@@ -13,6 +14,10 @@
 __all__ = ["Ending", "play"]
 
 NOT_RUN, OK = 503, 200
+NO_CONNECTION, TIMED_OUT = 0, -1
+"""Instead of a status, when no answer came."""
+UNTOUCHED = frozenset({NO_CONNECTION, NOT_RUN})
+"""Endings after which also what must not run twice may be sent again."""
 MAX_WAIT_PART = 1 / 3
 """Part of the time left for which clients follow advice to wait."""
 CLIENT_SECONDS = 0.001
@@ -51,7 +56,15 @@
     return sorted(endings, key=lambda ending: ending.at)
 
 
-async def _arrive(world, kind, centre, rng, numbers, endings) -> None:
+async def _arrive(
+    world: World,
+    kind: RequestClass,
+    centre: str,
+    rng: random.Random,
+    numbers: Iterator[int],
+    endings: list[Ending],
+) -> None:
+    """Send requests of one kind from one data centre until the load ends."""
     rate = kind.per_second / len(world.load.data_centres)
     async with asyncio.TaskGroup() as group:
         while True:
@@ -62,10 +75,18 @@
             group.create_task(_request(world, kind, centre, identity, rng, endings))
 
 
-async def _request(world, kind, centre, identity, rng, endings) -> None:
+async def _request(
+    world: World,
+    kind: RequestClass,
+    centre: str,
+    identity: bytes,
+    rng: random.Random,
+    endings: list[Ending],
+) -> None:
+    """Send one request, again as often as its kind retries, and note its end."""
     at = read_monotonic()
     end = at + kind.deadline
-    status, tries = 0, 0
+    status, tries = NO_CONNECTION, 0
     for number in range(1 + kind.retries):
         tries = number + 1
         name = identity if not number else b"%s-%d" % (identity, number)
@@ -73,12 +94,12 @@
         left = end - read_monotonic()
         if status == OK or left <= 0:
             break
-        if not kind.repeatable and status not in (NOT_RUN, 0):
+        if not kind.repeatable and status not in UNTOUCHED:
             break
-        wait = min(advice, MAX_WAIT_PART * left)
-        await asyncio.sleep(wait)
+        await asyncio.sleep(min(advice, MAX_WAIT_PART * left))
     took = read_monotonic() - at if status == OK else None
-    endings.append(Ending(kind.name, centre, at, took, status in (0, NOT_RUN), tries))
+    is_refused = status in UNTOUCHED
+    endings.append(Ending(kind.name, centre, at, took, is_refused, tries))
 
 
 async def _try_once(
@@ -89,17 +110,17 @@
     end: float,
     rng: random.Random,
 ) -> tuple[int, float]:
-    """Return the status, 0 without a connection, and the advice to wait."""
+    """Return the status and the advice to wait, in seconds."""
     nodes = world.list_nodes(centre)
     await asyncio.sleep(CLIENT_SECONDS)
     if not nodes:
-        return 0, 0.0
+        return NO_CONNECTION, 0.0
     left = end - read_monotonic()
     try:
         async with asyncio.timeout(left):
             response = await send(rng.choice(nodes), kind, identity, left)
     except TimeoutError:
-        return -1, 0.0
+        return TIMED_OUT, 0.0
     await asyncio.sleep(CLIENT_SECONDS)
     headers = dict(response.headers)
     return response.status, float(headers.get(b"retry-after", b"0"))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -67,10 +67,11 @@
         finally:
             injury.ended = time.monotonic()
 
-    def _draw_seconds(self) -> float:
+    def draw_seconds(self) -> float:
+        """Return how long a fault lasts."""
         return self.rng.uniform(*LAST_SECONDS)
 
-    async def _with_process(self, node: Node, work: Awaitable[None]) -> None:
+    async def with_process(self, node: Node, work: Awaitable[None]) -> None:
         """Do `work` unless the node's process is being dealt with already."""
         if node.name in self._busy:
             work.close()
@@ -91,21 +92,21 @@
 
 async def _term(injector: Injector, node: Node) -> None:
     work = _restart(injector, node, signal.SIGTERM, 0.1)
-    await injector._with_process(node, work)
+    await injector.with_process(node, work)
 
 
 async def _kill(injector: Injector, node: Node) -> None:
     work = _restart(injector, node, signal.SIGKILL, injector.rng.uniform(0.1, 1.0))
-    await injector._with_process(node, work)
+    await injector.with_process(node, work)
 
 
 async def _pause(injector: Injector, node: Node) -> None:
     async def work() -> None:
         node.signal(signal.SIGSTOP)
-        await asyncio.sleep(injector._draw_seconds())
+        await asyncio.sleep(injector.draw_seconds())
         node.signal(signal.SIGCONT)
 
-    await injector._with_process(node, work())
+    await injector.with_process(node, work())
 
 
 async def _hup(_injector: Injector, node: Node) -> None:
@@ -116,7 +117,7 @@
 def _harm_store(harm: Harm) -> Callable:
     async def inflict(injector: Injector, node: Node) -> None:
         node.to_store.harm = harm
-        await asyncio.sleep(injector._draw_seconds())
+        await asyncio.sleep(injector.draw_seconds())
         node.to_store.harm = Harm.NONE
 
     return inflict
@@ -125,7 +126,7 @@
 def _harm_target(harm: Harm) -> Callable:
     async def inflict(injector: Injector, node: Node) -> None:
         node.to_target.harm = harm
-        await asyncio.sleep(injector._draw_seconds())
+        await asyncio.sleep(injector.draw_seconds())
         node.to_target.harm = Harm.NONE
         # What was dropped is missing from these streams for good.
         node.to_target.reset()
@@ -148,7 +149,7 @@
 def _fail_store(fault: str) -> Callable:
     async def inflict(injector: Injector, _node: Node) -> None:
         injector.fleet.store.fault = fault
-        await asyncio.sleep(injector._draw_seconds())
+        await asyncio.sleep(injector.draw_seconds())
         injector.fleet.store.fault = "up"
 
     return inflict
@@ -160,13 +161,13 @@
 
 async def _lose_answers(injector: Injector, node: Node) -> None:
     node.target.lose_share = 0.2
-    await asyncio.sleep(injector._draw_seconds())
+    await asyncio.sleep(injector.draw_seconds())
     node.target.lose_share = 0.0
 
 
 async def _cross_answers(injector: Injector, node: Node) -> None:
     node.target.cross_share = 0.2
-    await asyncio.sleep(injector._draw_seconds())
+    await asyncio.sleep(injector.draw_seconds())
     node.target.cross_share = 0.0
 
 
@@ -174,7 +175,7 @@
     if not node.target.is_up or node.target.state != "ready":
         return
     node.target.crash()
-    await asyncio.sleep(injector._draw_seconds())
+    await asyncio.sleep(injector.draw_seconds())
     await node.target.begin(is_cold=True)
 
 
