SIGHUP does not end a node that is still starting

Cause: SIGHUP met the process before its event loop had a handler, and the default is to end. Ruled out: the settings (whole, and read a moment later by the next start).

Change: the signal is ignored from the first line on; the settings are read afterwards anyway. The soak starts a node that ended by itself again, and names it.

--- a/cactusshed/sidecar.py
+++ b/cactusshed/sidecar.py
@@ -1,13 +1,16 @@
 """The daemon of the users' platform: a node beside one target."""
 
+import signal
 import sys
 
+# A node that is still starting must not end because its settings have changed: it is
+# about to read them. The handler comes with the event loop.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # Nothing here speaks TLS; the event loop then does not load 4 MB of OpenSSL.
 sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
 import asyncio  # noqa: E402
 import os  # noqa: E402
-import signal  # noqa: E402
 
 from .errors import CactusError  # noqa: E402
 from .mesh.sidecar import Sidecar  # noqa: E402
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -155,6 +155,13 @@
             yield Finding("lost", text)
 
 
+def _check_ends(seen: Evidence) -> Iterator[Finding]:
+    """Find processes that ended without having been told to."""
+    for node in seen.fleet.nodes:
+        if node.own_ends:
+            yield Finding("own-end", f"{node.name} ended {node.own_ends} times")
+
+
 def _check_recovery(seen: Evidence) -> Iterator[Finding]:
     """Find whether too little is served once the faults are over."""
     over = max((i.ended for i in seen.injuries), default=0.0) + CALM_SECONDS
@@ -200,6 +207,7 @@
         _check_configuration,
         _check_in_force,
         _check_lost,
+        _check_ends,
         _check_recovery,
     )
     return [finding for check in checks for finding in check(seen)]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -54,7 +54,8 @@
     to_target: FaultProxy
     process: subprocess.Popen | None = None
     lives: int = 0
-    is_wanted: bool = True
+    own_ends: int = 0
+    """How often the process ended without having been told to."""
 
     def start(self) -> None:
         """Start the process."""
@@ -202,8 +203,11 @@
         return answer.status == 200
 
     async def wait_open(self, node: Node) -> None:
-        """Wait until a node is ready."""
+        """Wait until a node is ready; start it again if it has ended by itself."""
         while not await self.is_ready(node):
+            if node.process.poll() is not None:
+                node.own_ends += 1
+                node.start()
             await asyncio.sleep(0.05)
 
     async def close(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,13 +31,15 @@
 class _Seen:
     """A fleet of one target, for the checkers."""
 
-    def __init__(self, target):
+    def __init__(self, target, own_ends):
+        self.name = "n"
+        self.own_ends = own_ends
         self.target = target
         self.nodes = [self]
 
 
 def make_evidence(
-    records=(), runs=(), injuries=(), evacuations=(), leaves=(), added=()
+    records=(), runs=(), injuries=(), evacuations=(), leaves=(), added=(), own_ends=0
 ):
     """Return evidence of one target in the data centre `dc`."""
     target = SoakTarget(node="n", data_centre="dc")
@@ -50,7 +52,11 @@
     harmless = Injury("hup", "n", 0.0, 500.0)
     injuries = [*injuries, harmless]
     return Evidence(
-        _Seen(target), [*records, last], injuries, list(evacuations), dict(added)
+        _Seen(target, own_ends),
+        [*records, last],
+        injuries,
+        list(evacuations),
+        dict(added),
     )
 
 
@@ -132,6 +138,7 @@
                 "injuries": [Injury("term", "n", 9.0, 12.0)],
             },
         ),
+        ("own-end", {"own_ends": 1}),
         (
             "recovery",
             {
