--- a/cactusshed/emulator/world.py
+++ b/cactusshed/emulator/world.py
@@ -27,7 +27,7 @@
 from .load import Load, Outage, RequestClass, Service
 from .target import EmulatedTarget
 
-__all__ = ["Node", "World"]
+__all__ = ["Node", "World", "send"]
 
 HOST = "emulated"
 COLD_FACTOR, COLD_SLACK = 1.5, 5.0
@@ -133,15 +133,16 @@
         self._rng = rng
         self._table = _make_table(load)
         for service in load.services.values():
-            for index, (centre, _) in enumerate(self._list_places()):
+            for index, centre in enumerate(self._list_places()):
                 self.nodes.append(self._make_node(service, centre, index))
         for node in self.nodes:
             self._wire(node)
 
-    def _list_places(self) -> Iterator[tuple[str, int]]:
+    def _list_places(self) -> Iterator[str]:
+        """Yield the data centre of each node of one service."""
         for centre in self.load.data_centres:
-            for number in range(self.load.nodes):
-                yield centre, number
+            for _ in range(self.load.nodes):
+                yield centre
 
     def _make_node(self, service: Service, centre: str, index: int) -> Node:
         name = f"{service.name}-{centre}-{index}"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,7 +18,7 @@
 )
 from .target import Run, SoakTarget
 
-__all__ = ["Evidence", "Finding", "find_faults"]
+__all__ = ["Evidence", "Finding", "count_by", "find_faults"]
 
 REFUSED = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run."""
