--- a/cactusshed/errors.py
+++ b/cactusshed/errors.py
@@ -125,7 +125,7 @@
 
 
 class WithdrawalRefused(CactusError):
-    """The capacity left after a withdrawal or drain would not bear the load."""
+    """The capacity left after a withdrawal or drain is too small for the load."""
 
     code = "withdrawal-refused"
     status = 409
--- a/cactusshed/member/gossip.py
+++ b/cactusshed/member/gossip.py
@@ -29,7 +29,7 @@
 """Capacity of the send queue; further datagrams are dropped and counted."""
 INDIRECT_PROBES = 3
 """Number of peers asked to probe a node that did not answer a direct probe."""
-FAN_OUT = 3
+GOSSIP_FAN_OUT = 3
 """Number of neighbours that receive pending rumours in each round."""
 BRIDGE_NODES = 3
 """Number of lowest-ranked nodes of a data centre that gossip with other ones."""
@@ -98,7 +98,7 @@
     def send_pending(self, repeats: int = 3) -> None:
         """Send pending rumours immediately, without waiting for the next round."""
         for _ in range(repeats):
-            for member in self._choose_peers(FAN_OUT * 2):
+            for member in self._choose_peers(GOSSIP_FAN_OUT * 2):
                 self._send(pb.Packet(kind=pb.GOSSIP), member.control_address)
 
     async def _run_round(self) -> None:
@@ -106,7 +106,7 @@
         self._declare_dead(now)
         self.view.remove_expired(now)
         if len(self.rumors):
-            for member in self._choose_peers(FAN_OUT):
+            for member in self._choose_peers(GOSSIP_FAN_OUT):
                 self._send(pb.Packet(kind=pb.GOSSIP), member.control_address)
         subject = self._choose_subject()
         if subject is not None:
--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -29,7 +29,7 @@
 from .gate import Gate
 from .moves import Moves, TrackedMove, decode_move, encode_move
 from .peers import Peers
-from .records import Order, Records
+from .records import Records, StoredOrder
 from .tallies import make_samples
 
 __all__ = ["MoveController"]
@@ -89,7 +89,7 @@
         names = [m.node for m in self.peers.members.values() if m.is_up]
         return sum(name < self.node for name in names)
 
-    async def _process_order(self, service: str, order: Order) -> None:
+    async def _process_order(self, service: str, order: StoredOrder) -> None:
         now = read_monotonic()
         tracked = self.moves.tracked.get(service)
         is_current = tracked is not None and tracked.move.order >= order.version
@@ -109,7 +109,7 @@
             return
         await self._take_over(service, order)
 
-    async def _take_over(self, service: str, order: Order) -> None:
+    async def _take_over(self, service: str, order: StoredOrder) -> None:
         """Read the row, then start or continue the move as its holder."""
         page = await self.store.read_table(SYSTEM_TABLE, f"{MOVE_ROW_PREFIX}{service}")
         rows = [row for row in page.rows if row.key == f"{MOVE_ROW_PREFIX}{service}"]
@@ -132,7 +132,7 @@
         await self._write(tracked, move)
 
     def _start_move(
-        self, service: str, order: Order, tracked: TrackedMove | None
+        self, service: str, order: StoredOrder, tracked: TrackedMove | None
     ) -> Move:
         request = order.order
         source = self.moves.find_source(service, order)
@@ -149,7 +149,7 @@
             holder=self.node,
         )
 
-    async def _advance(self, tracked: TrackedMove, order: Order) -> None:
+    async def _advance(self, tracked: TrackedMove, order: StoredOrder) -> None:
         now = read_monotonic()
         move = tracked.move
         elapsed = move.elapsed + now - tracked.updated_at
@@ -210,9 +210,9 @@
         move = tracked.move
         now = read_monotonic()
         if move.state != CLOSING:
-            tracked.closed_at = now
+            tracked.last_open_at = now
             return False
-        if now - tracked.closed_at < MIN_CLOSING_SECONDS:
+        if now - tracked.last_open_at < MIN_CLOSING_SECONDS:
             return False
         names = [
             member.node
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -13,7 +13,7 @@
 from .frames import MoveUpdate, TargetState, VersionTallies
 from .gate import Gate
 from .peers import Peers
-from .records import Order, Records
+from .records import Records, StoredOrder
 
 __all__ = ["Moves", "TrackedMove", "decode_move", "encode_move"]
 
@@ -32,8 +32,8 @@
     status row."""
     checks: int = 0
     """Number of interim checks of the new version."""
-    closed_at: float = 0.0
-    """Last time at which the old version was not closing yet."""
+    last_open_at: float = 0.0
+    """Last time at which the old version was still open to new requests."""
 
 
 @attrs.define(eq=False)
@@ -62,7 +62,7 @@
             return choose_version(tracked.move, self.rng)
         return self.find_source(service, order)
 
-    def find_source(self, service: str, order: Order | None) -> str:
+    def find_source(self, service: str, order: StoredOrder | None) -> str:
         """Return the version that was active before any move."""
         targets = self.list_targets(service)
         versions = {state.version for state in targets if state.version}
--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -24,11 +24,11 @@
 from .frames import RecordsUpdate
 from .table import EMPTY_TABLE, Table
 
-__all__ = ["Order", "Records"]
+__all__ = ["Records", "StoredOrder"]
 
 
 @attrs.frozen
-class Order:
+class StoredOrder:
     """An order to move a service, and the version of its row."""
 
     order: MoveOrder
@@ -57,7 +57,7 @@
     last_change: int = 0
     table: Table = EMPTY_TABLE
     evacuated: frozenset[str] = frozenset()
-    orders: dict[str, Order] = attrs.Factory(dict)
+    orders: dict[str, StoredOrder] = attrs.Factory(dict)
     rows: dict[str, StoredRow] = attrs.Factory(dict)
     _refused_versions: dict[str, int] = attrs.Factory(dict)
     _history: deque[tuple[int, frozenset]] = attrs.Factory(
@@ -122,7 +122,7 @@
             if row.is_deleted:
                 self.orders.pop(service, None)
             else:
-                self.orders[service] = Order(decode_move(row.value), row.version)
+                self.orders[service] = StoredOrder(decode_move(row.value), row.version)
             log_line("move-order", service=service, gone=row.is_deleted)
 
     def _apply_table(self, table: Table) -> None:
--- a/cactusshed/platform/fields.py
+++ b/cactusshed/platform/fields.py
@@ -1,4 +1,4 @@
-"""Helpers that read and check one field of a decoded JSON body."""
+"""Helpers that check one field of a decoded JSON body and name it in errors."""
 
 from typing import Any
 
--- a/cactusshed/policy/admission.py
+++ b/cactusshed/policy/admission.py
@@ -21,8 +21,8 @@
     """State of a ticket."""
 
     NEW = "new"
-    ADMITTED = "admitted"
-    QUEUED = "queued"
+    RUNNING = "running"
+    WAITING = "waiting"
     REFUSED = "refused"
     DONE = "done"
 
@@ -128,7 +128,7 @@
         return len(self._running) < self.get_limit()
 
     def _admit(self, ticket: Ticket) -> None:
-        ticket.state = TicketState.ADMITTED
+        ticket.state = TicketState.RUNNING
         self._running.add(ticket)
         self.highest = max(self.highest, len(self._running))
 
@@ -151,7 +151,7 @@
                 return []
             evicted.append(self._refuse(victim, Refusal("shed", RETRY_AFTER_SECONDS)))
         ticket.deadline = min(ticket.deadline, now + self._limits.queue_timeout)
-        ticket.state = TicketState.QUEUED
+        ticket.state = TicketState.WAITING
         self._queues[ticket.traffic_class].append(ticket)
         return evicted
 
@@ -164,7 +164,7 @@
 
     def finish(self, ticket: Ticket, now: float) -> list[Ticket]:
         """Remove a ticket; return the other tickets whose state changed."""
-        if ticket.state == TicketState.QUEUED:
+        if ticket.state == TicketState.WAITING:
             self._queues[ticket.traffic_class].remove(ticket)
         self._running.discard(ticket)
         ticket.state = TicketState.DONE
--- a/cactusshed/serve/callers.py
+++ b/cactusshed/serve/callers.py
@@ -114,7 +114,7 @@
             idempotent=route.is_idempotent(method),
             version_number=table.number,
             key=key,
-            rule=route,
+            route_settings=route,
         )
 
     async def _run_watched(self, call: Call, receive: Receive) -> Outcome | None:
--- a/cactusshed/serve/dispatch.py
+++ b/cactusshed/serve/dispatch.py
@@ -66,10 +66,12 @@
         """Run `call` on a target of its service and return the outcome."""
         table = self.current.table
         budget = self._budgets.setdefault(call.service, ServiceRetryBudget())
-        budget.note_call(call.rule.retry_ratio)
-        chosen_version = choose_version(call.rule, self._is_banned(call), self.rng)
+        budget.note_call(call.route_settings.retry_ratio)
+        chosen_version = choose_version(
+            call.route_settings, self._is_banned(call), self.rng
+        )
         outcome: Outcome = NO_TARGET
-        for version in list_versions(call.rule, chosen_version):
+        for version in list_versions(call.route_settings, chosen_version):
             endpoints = list(self._select(table, call, version))
             if not endpoints:
                 continue
@@ -82,7 +84,7 @@
         return outcome
 
     def _is_banned(self, call: Call) -> bool:
-        move = call.rule.move
+        move = call.route_settings.move
         if move is None:
             return False
         return self.bans.is_banned(move.move_id, read_monotonic())
@@ -221,7 +223,7 @@
 
     def _update_bans(self, call: Call, endpoint: Endpoint, outcome: Outcome) -> None:
         """Record the outcome for version bans while a move is in progress."""
-        move = call.rule.move
+        move = call.route_settings.move
         if move is None or isinstance(outcome, NotRun):
             return
         failed = (
@@ -238,7 +240,7 @@
     def _may_retry(
         self, call: Call, outcome: Outcome, attempt: int, budget: ServiceRetryBudget
     ) -> bool:
-        if not call.idempotent or attempt + 1 >= call.rule.max_attempts:
+        if not call.idempotent or attempt + 1 >= call.route_settings.max_attempts:
             return False
         if read_monotonic() >= call.deadline or not _is_retryable(outcome):
             return False
--- a/cactusshed/serve/gates.py
+++ b/cactusshed/serve/gates.py
@@ -170,7 +170,7 @@
         is_slot_held = False
         try:
             await served.enter(ticket)
-            if ticket.state != TicketState.ADMITTED:
+            if ticket.state != TicketState.RUNNING:
                 return self._refuse(ticket)
             if not self.call_records.dispatch(call.call_id):
                 return FENCED
--- a/cactusshed/serve/messages.py
+++ b/cactusshed/serve/messages.py
@@ -47,7 +47,7 @@
     key: str = ""
     may_wait: bool = False
     alone: bool = False
-    rule: Route | None = None
+    route_settings: Route | None = None
 
     def compute_fingerprint(self) -> bytes:
         """Return a 16-byte BLAKE2b digest that is equal for identical requests."""
--- a/cactusshed/serve/peerclient.py
+++ b/cactusshed/serve/peerclient.py
@@ -83,7 +83,7 @@
             reply = await self._get_pool(member).send(
                 request,
                 deadline=call.deadline,
-                first_byte_timeout=call.rule.first_byte_timeout,
+                first_byte_timeout=call.route_settings.first_byte_timeout,
                 recent_only=not call.idempotent,
             )
         except NotSent:
--- a/cactusshed/serve/servedtarget.py
+++ b/cactusshed/serve/servedtarget.py
@@ -81,7 +81,7 @@
     async def enter(self, ticket: Ticket) -> None:
         """Submit a ticket to the gate and return once it is admitted or refused."""
         self._notify(self.gate.offer(ticket, read_monotonic()))
-        if ticket.state != TicketState.QUEUED:
+        if ticket.state != TicketState.WAITING:
             return
         event = self._waiting[ticket] = anyio.Event()
         try:
@@ -91,7 +91,7 @@
 
     def leave(self, ticket: Ticket) -> None:
         """Release the slot or the queue position of a ticket, if it still has one."""
-        if ticket.state in (TicketState.ADMITTED, TicketState.QUEUED):
+        if ticket.state in (TicketState.RUNNING, TicketState.WAITING):
             self._notify(self.gate.finish(ticket, read_monotonic()))
 
     def _notify(self, tickets: list[Ticket]) -> None:
--- a/cactusshed/spread/follower.py
+++ b/cactusshed/spread/follower.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Follower", "fetch_updates"]
 
-STALE_SECONDS = 6.0
+PARENT_STALE_SECONDS = 6.0
 """Age of the active version after which another parent is tried."""
 SILENT_SECONDS = 5.0
 """Time without any message after which a parent is abandoned."""
@@ -74,7 +74,7 @@
     rng: random.Random = attrs.Factory(random.Random)
     parent: str = ""
     _failures: int = 0
-    _max_age: float = STALE_SECONDS
+    _max_age: float = PARENT_STALE_SECONDS
     _avoid_until: dict[str, float] = attrs.Factory(dict)
 
     async def run(self) -> None:
@@ -173,9 +173,9 @@
         parents again and again without effect.
         """
         age = self.current.get_age(read_monotonic())
-        if age < STALE_SECONDS:
+        if age < PARENT_STALE_SECONDS:
             self._failures = 0
-            self._max_age = STALE_SECONDS
+            self._max_age = PARENT_STALE_SECONDS
             return True
         if age < self._max_age:
             return True
--- a/cactusshed/spread/poller.py
+++ b/cactusshed/spread/poller.py
@@ -22,7 +22,7 @@
 
 __all__ = ["Poller"]
 
-STALE_SECONDS = 10.0
+POLL_STALE_SECONDS = 10.0
 """Age of the version after which a node that is not a poller polls as well."""
 FLEET_READS_PER_SECOND = 100
 """Limit on the polls per second of all nodes that are not pollers."""
@@ -80,15 +80,17 @@
 
     def _should_poll(self) -> bool:
         age = self.current.get_age(read_monotonic())
-        return is_poller(self._get_rank()) or age > STALE_SECONDS
+        return is_poller(self._get_rank()) or age > POLL_STALE_SECONDS
 
     def _choose_interval(self) -> float:
         if is_poller(self._get_rank()):
             return self.settings.poll_interval * self.rng.uniform(0.8, 1.2)
-        max_interval = max(STALE_SECONDS, 2 * len(self.view) / FLEET_READS_PER_SECOND)
+        max_interval = max(
+            POLL_STALE_SECONDS, 2 * len(self.view) / FLEET_READS_PER_SECOND
+        )
         age = self.current.get_age(read_monotonic())
-        if age < STALE_SECONDS and self.current.ready:
-            return STALE_SECONDS
+        if age < POLL_STALE_SECONDS and self.current.ready:
+            return POLL_STALE_SECONDS
         return self.rng.uniform(0.0, max_interval)
 
     async def poll(self) -> None:
--- a/cactusshed/tool/operations.py
+++ b/cactusshed/tool/operations.py
@@ -123,7 +123,7 @@
 force_option = click.option(
     "--force",
     is_flag=True,
-    help="Proceed even if the remaining capacity may not bear the load.",
+    help="Proceed even if the remaining capacity may be too small for the load.",
 )
 
 
--- a/tests/test_calls_oracle.py
+++ b/tests/test_calls_oracle.py
@@ -238,7 +238,7 @@
         traffic_class="normal",
         idempotent=False,
         key=key,
-        rule=table.routes[0],
+        route_settings=table.routes[0],
     )
 
 
--- a/tests/test_gate_machine.py
+++ b/tests/test_gate_machine.py
@@ -39,19 +39,19 @@
         name = str(len(self.tickets))
         ticket = Ticket(name, traffic_class, self.now + seconds_left, may_wait, alone)
         self.tickets.append(ticket)
-        running = len(self._list(TicketState.ADMITTED))
+        running = len(self._list(TicketState.RUNNING))
         evicted = self.gate.offer(ticket, self.now)
         assert ticket.state != TicketState.NEW
         assert all(other.state == TicketState.REFUSED for other in evicted)
         if self.closed or seconds_left <= 0:
             assert ticket.state == TicketState.REFUSED
         if alone and running:
-            assert ticket.state != TicketState.ADMITTED
+            assert ticket.state != TicketState.RUNNING
 
     @rule(index=st.integers(0, 50), latency=st.floats(0.0, 2.0), good=st.booleans())
     def finish(self, index, latency, good):
         """Finish a running or waiting call."""
-        live = self._list(TicketState.ADMITTED) + self._list(TicketState.QUEUED)
+        live = self._list(TicketState.RUNNING) + self._list(TicketState.WAITING)
         if not live:
             return
         ticket = live[index % len(live)]
@@ -72,7 +72,7 @@
         """Close the gate as for a withdrawn target."""
         self.gate.close("withdrawn")
         self.closed = True
-        assert not self._list(TicketState.QUEUED)
+        assert not self._list(TicketState.WAITING)
 
     @rule()
     def open(self):
@@ -94,8 +94,8 @@
         """Check the gate's counts against the model."""
         if not hasattr(self, "gate"):
             return
-        assert self.gate.running == len(self._list(TicketState.ADMITTED))
-        assert self.gate.queued == len(self._list(TicketState.QUEUED))
+        assert self.gate.running == len(self._list(TicketState.RUNNING))
+        assert self.gate.queued == len(self._list(TicketState.WAITING))
         assert self.gate.queued <= self.limits.queue_length
         assert 1 <= self.gate.get_limit() <= self.ceiling
 
@@ -113,13 +113,13 @@
         """Check the slot limit, and that an `alone` call runs without others."""
         if hasattr(self, "gate"):
             assert self.gate.running <= SLOTS
-            alone = [t for t in self._list(TicketState.ADMITTED) if t.alone]
+            alone = [t for t in self._list(TicketState.RUNNING) if t.alone]
             assert not alone or self.gate.running == 1
 
     @invariant()
     def calls_wait_only_while_others_run(self):
         """Check that no call waits at a gate without running calls."""
-        if not hasattr(self, "gate") or not self._list(TicketState.QUEUED):
+        if not hasattr(self, "gate") or not self._list(TicketState.WAITING):
             return
         assert self.gate.running
 
