Groups of nodes that meet by the seed rows gossip each other's records

A node that found another group in the seed rows took its records without passing them on, and told it nothing of its own group, so the other members waited for their own anti-entropy exchange, 10 to 30 s.

Change: a sync with a node of another group gossips the records that it brings, and those that the other group lacks. The number of rumours is that of the nodes that did not know each other, and 0 for a node that joins.

--- a/cactusshed/member/joiner.py
+++ b/cactusshed/member/joiner.py
@@ -82,7 +82,7 @@
             others = [address for address in seeds if address != local_address]
             self.rng.shuffle(others)
             for address in others:
-                if await self._sync(address, []):
+                if await self._sync(address, []) is not None:
                     return True
             if not others:
                 return False
@@ -141,10 +141,23 @@
             self.counters.add("seeds_failed")
 
     async def _sync_unknown_seeds(self) -> None:
-        known_addresses = {member.control_address for member in self.view.list_all()}
         for address in await self._read_seeds():
-            if address not in known_addresses:
-                await self._sync(address, [])
+            members = self.view.list_all()
+            if all(member.control_address != address for member in members):
+                await self._merge_group(address)
+
+    async def _merge_group(self, address: Address) -> None:
+        """Sync with a node of another group, and gossip what either group lacks.
+
+        Nodes that start at once form groups that learn of each other by the seed rows.
+        Without gossip every other member would wait for its own anti-entropy exchange.
+        """
+        fetched_nodes = await self._sync(address, [], propagate=True)
+        if fetched_nodes is None:
+            return
+        for member in self.view.list_all():
+            if member.node not in fetched_nodes:
+                self.view.publish(member)
 
     async def _read_seeds(self) -> list[Address]:
         try:
@@ -154,7 +167,11 @@
             return []
         return [address for row in rows if (address := _parse_seed(row.value))]
 
-    async def _sync(self, address: Address, buckets: list[int]) -> bool:
+    async def _sync(
+        self, address: Address, buckets: list[int], *, propagate: bool = False
+    ) -> set[str] | None:
+        """Merge the records of a node; return whose they are, `None` if it failed."""
+        fetched_nodes: set[str] = set()
         request = pb.SyncRequest(
             sender=dump_member(self.view.local_member), buckets=buckets
         )
@@ -168,18 +185,19 @@
                 )
                 async for reply in call:
                     self.counters.add("control_bytes_received", reply.ByteSize())
-                    for member in reply.members:
-                        self.view.merge(load_member(member), now, propagate=False)
+                    for member in map(load_member, reply.members):
+                        fetched_nodes.add(member.node)
+                        self.view.merge(member, now, propagate=propagate)
         except grpc.RpcError as error:
             log_event(
                 "sync-failed", error=str(convert_rpc_error(error, "sync", address))
             )
-            return False
+            return None
         except CactusError as error:
             log_event("sync-refused", error=str(error), peer=str(address))
-            return False
+            return None
         self.counters.add("syncs")
-        return True
+        return fetched_nodes
 
 
 def _parse_seed(value: str) -> Address | None:
--- a/cactusshed/member/view.py
+++ b/cactusshed/member/view.py
@@ -101,6 +101,10 @@
         self._store(attrs.evolve(local_member, seq=record.seq + 1))
         return True
 
+    def publish(self, member: Member) -> None:
+        """Pass a stored record to `on_change` again."""
+        self._on_change(member)
+
     def set_state(self, node: str, state: State, now: float) -> None:
         """Set the state of another node as observed by this node."""
         existing = self._members.get(node)
