Cold gates of the product queue what their target serves within the queue timeout

A node that stalls for 0.1 s finds ten requests at once, and two gates that admit one call each refused the rest as target-busy, though their targets answer in 1 and 50 ms.

Change: the queue holds what the target was seen to serve in the queue timeout, at most queue-length, and no less than before. The last assertion of the test could not fail, since it counted submissions and the load sends reads; it now asks that the cold target ran some.

--- a/cactusshed/policy/admission.py
+++ b/cactusshed/policy/admission.py
@@ -138,9 +138,19 @@
         return ticket
 
     def _compute_queue_limit(self) -> int:
-        """Return the queue limit, scaled by how far the target has warmed up."""
+        """Return the queue limit, scaled by how far the target has warmed up.
+
+        It is higher if the target was seen to serve more calls in the queue timeout: a
+        node that stalls for a moment then finds many calls at once, all still in time.
+        """
+        queue_length = self._limits.queue_length
         fraction = self.get_limit() / max(1, self.warmup.ceiling)
-        return math.ceil(self._limits.queue_length * fraction)
+        scaled = math.ceil(queue_length * fraction)
+        latency = self.warmup.get_slowest_baseline()
+        if latency is None:
+            return scaled
+        served = self.get_limit() * self._limits.queue_timeout / max(latency, 1e-6)
+        return min(queue_length, max(scaled, int(served)))
 
     def _enqueue(self, ticket: Ticket, now: float) -> list[Ticket]:
         evicted = []
--- a/cactusshed/policy/warmup.py
+++ b/cactusshed/policy/warmup.py
@@ -67,6 +67,10 @@
         """Return the current concurrency limit, at least 1."""
         return max(1, int(self.limit))
 
+    def get_slowest_baseline(self) -> float | None:
+        """Return the usual latency of the slowest route; `None` before any answer."""
+        return max(self._baselines.values(), default=None)
+
     def is_warm(self) -> bool:
         """Return whether the limit has reached the ceiling."""
         return self.get_limit() >= self.ceiling
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -131,7 +131,7 @@
     counts = fleet.fetch_target_counts("texts-2")
     assert_that({result.status for result in load.results}, Equals({200}))
     assert_that(counts["overload"], Equals(0))
-    assert_that(len(counts["runs"]), Equals(0))
+    assert_that(counts["highest"], GreaterThan(0))
 
 
 def test_crash_request_is_quarantined(fleet):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -18,6 +18,7 @@
 from cactusshed.member.records import Member, Target
 from cactusshed.member.view import Endpoint
 from cactusshed.observe.tallies import TIME_BUCKETS, choose_time_bucket
+from cactusshed.policy.admission import Gate, Ticket
 from cactusshed.policy.bans import Bans
 from cactusshed.policy.capacity import ServiceLoad, find_shortfalls
 from cactusshed.policy.comparison import GOOD, Comparison, Sample, compare_versions
@@ -28,7 +29,7 @@
 from cactusshed.policy.trafficsplit import list_versions
 from cactusshed.policy.warmup import Warmup
 from cactusshed.tree.edit import Edit, make_change
-from cactusshed.tree.table import compile_table
+from cactusshed.tree.table import Limits, compile_table
 
 PLAN = Plan("m1", "v2", 0.0, 100.0, 0.05)
 START = Progress("m1", "v2", 0.0, "running", 0.0)
@@ -322,3 +323,18 @@
     assert_that(list(find_shortfalls(endpoints, endpoints[:1], low_load)), HasLength(0))
     shortfalls = list(find_shortfalls(endpoints, endpoints, low_load))
     assert_that(shortfalls, Equals(["texts would have no target"]))
+
+
+@pytest.mark.parametrize(("latency", "queued"), [(0.001, 30), (0.05, 10), (0.5, 4)])
+def test_cold_gate_queues_what_its_target_serves_in_time(latency, queued):
+    """Thirty calls come at once, after a stall, to a gate that admits one at a time.
+
+    As many wait as the target serves within the queue timeout, at most 64, and no fewer
+    than the share of these that the gate has warmed up to.
+    """
+    gate = Gate(20, Limits(20, 64, 0.5, 1, 10.0, 8.0))
+    gate.warmup.note_success("r", latency, 0.0)
+    tickets = [Ticket(str(number), "normal", 5.0) for number in range(31)]
+    for ticket in tickets:
+        gate.offer(ticket, 1.0)
+    assert_that(gate.queued, Equals(queued))
