One node of a data centre reads the store, also while the store is in trouble

Its first feed call is answered at once, and a failed read ends a reader's heartbeats. Member rows are reread by the reader, by other nodes each 100 s.

--- a/cactusshed/mesh/relay.py
+++ b/cactusshed/mesh/relay.py
@@ -3,9 +3,10 @@
 The design assumes many nodes, slow links and changes to a large document. Calls to the
 store and traffic between data centres are billed, traffic inside a data centre is
 not. The node with the fastest link reads the store. The other nodes of its data
-centre follow it, and read the store themselves if its heartbeats stop, that is, if it
-fails or loses the store. After a change a reader sends a heartbeat to all nodes, so
-that a node whose own reader is cut off pulls the change from another data centre.
+centre follow it; if its heartbeats stop, that is, if it fails or loses the store, they
+try in turns until one of them is answered. After a change a reader sends a heartbeat to
+all nodes, so that a node whose own reader is cut off pulls the change from another data
+centre.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 
 from ..clock import read_monotonic
 from ..observe.lines import log_line
+from ..policy.readerturns import is_on_turn
 from .frames import Frame, PullRequest, ReaderHeartbeat, RecordsUpdate
 from .link import Link
 from .member import Member
@@ -26,8 +28,8 @@
 HEARTBEAT_SECONDS = 0.3
 """Interval of a reader's heartbeats to its followers."""
 SILENT_SECONDS = 1.0
-"""Time without a heartbeat after which a follower reads the store itself: half of
-the time in which users require a configuration to take effect."""
+"""Time without a heartbeat after which a data centre has no reader: half of the time in
+which users require a configuration to take effect."""
 STORE_LOST_SECONDS = 2.8
 """Age of the store's last answer at which the store counts as lost: one feed call
 and a margin."""
@@ -51,11 +53,12 @@
     is_leaving: Callable[[], bool]
     last_store_answer: float = float("-inf")
     _last_heartbeats: dict[str, float] = attrs.Factory(dict)
+    started_at: float = attrs.Factory(read_monotonic)
     _was_reader: bool = False
     _pull_sent_at: float = float("-inf")
 
-    def find_reader(self) -> str:
-        """Return the node of this data centre that should read the store."""
+    def _rank_nodes(self) -> list[str]:
+        """Return the nodes of this data centre in the order in which they read."""
         ranked = [
             (-member.link_mbps, member.node)
             for member in self.peers.members.values()
@@ -65,34 +68,59 @@
         ]
         if not self.is_leaving():
             ranked.append((-self.link_mbps, self.node))
-        return min(ranked)[1] if ranked else self.node
+        return [node for _, node in sorted(ranked)] or [self.node]
 
     def is_reader(self) -> bool:
         """Return whether this node reads the store itself."""
-        reader = self.find_reader()
-        last_heartbeat = self._last_heartbeats.get(reader, float("-inf"))
-        is_silent = read_monotonic() - last_heartbeat > SILENT_SECONDS
-        reads = reader == self.node or is_silent
+        ranked = self._rank_nodes()
+        reads = self._should_read(ranked)
         if reads != self._was_reader:
             self._was_reader = reads
-            log_line("store-reader", reader=self.node if reads else reader)
+            log_line("store-reader", reader=self.node if reads else ranked[0])
         return reads
 
+    def _should_read(self, ranked: list[str]) -> bool:
+        if ranked[0] == self.node:
+            return True
+        if self.node not in ranked:
+            return False
+        now = read_monotonic()
+        rank = ranked.index(self.node)
+        if now - self._get_last_heartbeat(ranked[:rank]) <= SILENT_SECONDS:
+            return False
+        if self._is_fresh(now):
+            # This node stands in for the ones before it.
+            return True
+        last_heartbeat = max(self.started_at, self._get_last_heartbeat(ranked))
+        silent_seconds = now - last_heartbeat - SILENT_SECONDS
+        return is_on_turn(rank - 1, len(ranked) - 1, silent_seconds)
+
+    def _get_last_heartbeat(self, nodes: list[str]) -> float:
+        never = float("-inf")
+        return max((self._last_heartbeats.get(n, never) for n in nodes), default=never)
+
+    def _is_fresh(self, now: float) -> bool:
+        return now - self.last_store_answer < STORE_LOST_SECONDS
+
     def note_store_answer(self) -> None:
         """Record that the store has answered."""
         self.last_store_answer = read_monotonic()
 
-    async def run(self) -> None:
-        """Send heartbeats to the followers until cancelled.
+    def note_store_failure(self) -> None:
+        """Record that the store could not be read; another node may take over."""
+        self.last_store_answer = float("-inf")
 
-        They pause while this node is not the reader or can't reach the store.
-        """
+    async def run(self) -> None:
+        """Send heartbeats to the followers until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            is_fresh = read_monotonic() - self.last_store_answer < STORE_LOST_SECONDS
-            if is_fresh and self.find_reader() == self.node:
-                for link in self._list_followers():
-                    link.send(self._make_heartbeat())
+            self.send_heartbeats()
+
+    def send_heartbeats(self) -> None:
+        """Send a heartbeat to the followers if this node reads the store for them."""
+        if self._was_reader and self._is_fresh(read_monotonic()):
+            for link in self._list_followers():
+                link.send(self._make_heartbeat())
 
     def _make_heartbeat(self) -> ReaderHeartbeat:
         return ReaderHeartbeat(self.records.last_change, self.records.table.version)
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -104,6 +104,7 @@
             self.announcements.restore_state,
             lambda: self.relay.is_reader(),
             lambda: self.relay.note_store_answer(),
+            lambda: self.relay.note_store_failure(),
         )
         self.inbound = Inbound(
             self.gate,
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -33,8 +33,10 @@
 """Longest pause after a failure, so that rows are written soon after the store is
 reachable again."""
 MEMBERS_INTERVAL_SECONDS = 20.0
-"""Interval between reads of the member rows; in between, nodes learn of new members
-from their `Hello`."""
+"""Interval between a reader's reads of the member rows; in between, nodes learn of new
+members from their `Hello`."""
+FOLLOWER_MEMBERS_SECONDS = 100.0
+"""The same for the other nodes: less than the time after which a node is forgotten."""
 
 
 class MemberRow(msgspec.Struct, frozen=True):
@@ -69,8 +71,13 @@
     """Returns whether this node must read the operator's rows itself."""
     note_store_answer: Callable[[], None]
     """Called each time the store has answered a read of the operator's rows."""
+    note_store_failure: Callable[[], None]
+    """Called each time such a read has failed."""
     has_read_store: asyncio.Event = attrs.Factory(asyncio.Event)
     is_reachable: bool = True
+    _feed_seconds: float = 0.0
+    """Long-poll time of the next feed call. The first call of a reader is answered at
+    once, which shows the other nodes that it reads."""
     _waiting_since: float | None = None
     """Start of the wait for the first update from the reader."""
     _row_version: int | None = None
@@ -95,6 +102,7 @@
             if self.records.revision and not self.is_reader():
                 await asyncio.sleep(READER_CHECK_SECONDS)
                 is_full = False
+                self._feed_seconds = 0.0
                 continue
             try:
                 is_full = await self._read_operator_rows(
@@ -106,7 +114,9 @@
                 log_line("history-gone", revision=self.records.revision)
                 is_full = True
             except CactusError as error:
+                self.note_store_failure()
                 self._note_reachable(False, str(error))
+                self._feed_seconds = 0.0
                 await asyncio.sleep(pause * random.uniform(0.5, 1.0))  # noqa: S311
                 pause = min(MAX_BACKOFF_SECONDS, 2 * pause)
 
@@ -122,7 +132,10 @@
             self.has_read_store.set()
             return False
         after = self.records.revision
-        page = await self.store.wait_for_changes(OPERATOR_TABLE, after, FEED_SECONDS)
+        page = await self.store.wait_for_changes(
+            OPERATOR_TABLE, after, self._feed_seconds
+        )
+        self._feed_seconds = FEED_SECONDS
         self.note_store_answer()
         self.records.apply_changes(page.rows, page.version)
         return False
@@ -149,8 +162,12 @@
         await self._read_members()
         self.request_write()
         await self._row_written.wait()
+        read_at = float("-inf")
         while True:
-            await self._read_members()
+            age = read_monotonic() - read_at
+            if age >= FOLLOWER_MEMBERS_SECONDS or self.is_reader():
+                await self._read_members()
+                read_at = read_monotonic()
             await asyncio.sleep(MEMBERS_INTERVAL_SECONDS)
 
     async def _read_members(self) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,6 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from cactusshed.mesh import storesync
 from cactusshed.mesh.upstream import UpstreamFailed
 from standins.meshfleet import (
     MeshFleet,
@@ -48,6 +49,22 @@
     assert_that(run_async(work), Equals(True))
 
 
+def test_one_node_of_a_data_centre_rereads_the_members(monkeypatch):
+    """Repeated reads of the member rows do not grow with the fleet."""
+    monkeypatch.setattr(storesync, "MEMBERS_INTERVAL_SECONDS", 0.05)
+
+    async def work():
+        async with open_fleet("n1", "n2", "n3", "n4") as (fleet, _):
+            await asyncio.sleep(1.5)
+            before = fleet.store.calls
+            await asyncio.sleep(1.0)
+            return fleet.store.calls - before
+
+    calls = run_async(work)
+    assert_that(calls, GreaterThan(5))
+    assert_that(calls, LessThan(30))
+
+
 def test_request_reaches_a_target_beside_another_node():
     """The target must see the first node's service as caller, not a forged header."""
 
