Test processes listen on ports that outgoing connections don't use

Cause: the stand-ins chose listening ports from the kernel's ephemeral range, so another connection or test run could take one before the process was up. Found by running test_reconnect_storm_is_bounded in three lanes: 3 of 42 runs timed out waiting for one node to be ready; a node's log of such a run says 'Failed to bind ... Address already in use'.

Change: one function for all stand-ins, soak and tests chooses below that range.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,7 +13,8 @@
 
 from cactusshed.errors import CactusError
 from cactusshed.options import Address
-from standins.meshfleet import find_free_port, make_document, send_request
+from standins.meshfleet import make_document, send_request
+from standins.ports import choose_port
 from standins.rowstore import RowStoreApp, open_row_store
 
 from .proxy import FaultProxy
@@ -143,7 +144,7 @@
     @classmethod
     async def open(cls, count: int, folder: Path, rng: random.Random) -> "Fleet":
         """Return a fleet of `count` nodes in three data centres once all are ready."""
-        address = Address("127.0.0.1", find_free_port())
+        address = Address("127.0.0.1", choose_port())
         store, _ = await open_row_store(address)
         fleet = cls(store, folder, rng)
         fleet.store_address = address
@@ -177,9 +178,7 @@
         for proxy in (store_proxy, target_proxy):
             await proxy.open(ip)
         names = ("inbound", "outbound", "ready", "control")
-        settings = _make_settings(
-            name, centre, ip, {n: find_free_port() for n in names}
-        )
+        settings = _make_settings(name, centre, ip, {n: choose_port() for n in names})
         settings["app_addr"] = str(target_proxy.address)
         settings["platform"]["address"] = str(store_proxy.address)
         ip, _, port = settings["listen"]["control"].rpartition(":")
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,7 +10,8 @@
 import attrs
 import msgspec
 
-from .process import IP, Answer, Process, choose_port, fetch, wait_for
+from .ports import choose_port
+from .process import IP, Answer, Process, fetch, wait_for
 from .relay import Relay
 
 __all__ = ["Fleet", "NodeSpec", "open_fleet"]
--- a/standins/meshfleet.py
+++ b/standins/meshfleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import socket
 
 import attrs
 import msgspec
@@ -14,6 +13,7 @@
 from cactusshed.platform.boot import Bounds, Settings
 
 from .meshtarget import MeshTarget, open_mesh_target
+from .ports import choose_port
 from .rowstore import RowStoreApp, open_row_store
 
 __all__ = [
@@ -88,13 +88,6 @@
     }
 
 
-def find_free_port() -> int:
-    """Return a free TCP port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @attrs.define(eq=False)
 class MeshNode:
     """A node and its local target."""
@@ -207,7 +200,7 @@
     @classmethod
     async def open(cls) -> "MeshFleet":
         """Return a fleet whose store is listening."""
-        address = Address("127.0.0.1", find_free_port())
+        address = Address("127.0.0.1", choose_port())
         store, listener = await open_row_store(address)
         fleet = cls(store, listener)
         fleet.store_address = address
@@ -216,7 +209,7 @@
     async def start(self, name: str, service: str = "a", **target) -> MeshNode:
         """Start a target of `service` and its node."""
         local_target = await open_mesh_target(instance=f"i-{name}", **target)
-        ports = [Address("127.0.0.1", find_free_port()) for _ in range(4)]
+        ports = [Address("127.0.0.1", choose_port()) for _ in range(4)]
         settings = Settings(
             node=name,
             data_centre=f"zone-{name[0]}",
--- a/standins/process.py
+++ b/standins/process.py
@@ -1,7 +1,6 @@
-"""Start processes, choose ports and send requests on loopback."""
+"""Start processes and send requests on loopback."""
 
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,7 +11,7 @@
 import httpcore
 import msgspec
 
-__all__ = ["IP", "Answer", "Process", "choose_port", "fetch", "wait_for"]
+__all__ = ["IP", "Answer", "Process", "fetch", "wait_for"]
 
 IP = "127.0.0.1"
 STOP_SECONDS = 15.0
@@ -21,7 +20,6 @@
     httpcore.TimeoutException,
     httpcore.ProtocolError,
 )
-_used_ports: set[int] = set()
 
 
 @attrs.frozen
@@ -79,22 +77,6 @@
     raise TimeoutError(f"timed out after {seconds:g} s waiting for: {description}")
 
 
-def choose_port() -> int:
-    """Return a loopback port that is free for TCP and UDP."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((IP, 0))
-            port = tcp.getsockname()[1]
-            if port in _used_ports:
-                continue
-            try:
-                udp.bind((IP, port))
-            except OSError:
-                continue
-            _used_ports.add(port)
-            return port
-
-
 class Process:
     """A process of the fleet."""
 
--- a/tests/test_bodyparts.py
+++ b/tests/test_bodyparts.py
@@ -27,11 +27,11 @@
 from cactusshed.policy.quarantine import Quarantine
 from standins.meshfleet import (
     MeshFleet,
-    find_free_port,
     make_document,
     render_request,
     wait_for,
 )
+from standins.ports import choose_port
 
 from .meshes import make_call, run_async
 
@@ -99,7 +99,7 @@
     inbound = Inbound(gate, tracker, handle_other, BodyAssembler(budget))
     inbound.relay = attrs.make_class("Relay", [])()
     type(inbound.relay).handle = lambda _self, link, frame: handle_other(link, frame)
-    address = Address("127.0.0.1", find_free_port())
+    address = Address("127.0.0.1", choose_port())
     accepted = []
 
     def handle(link, frame):
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -21,7 +21,7 @@
 from cactusshed.policy.bodybudget import BodyBudget
 from cactusshed.serve.connection import exchange, make_request, open_connection
 from standins.endless import ENDLESS, send_endlessly
-from standins.meshfleet import find_free_port
+from standins.ports import choose_port
 
 from .meshes import make_call, open_gate, run_async
 
@@ -223,7 +223,7 @@
     async def run():
         lost = asyncio.Event()
         budget = BodyBudget(1 << 20)
-        address = Address("127.0.0.1", find_free_port())
+        address = Address("127.0.0.1", choose_port())
         server = await serve_links(
             address, lambda *_: None, lambda _link: lost.set(), budget
         )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,7 +12,7 @@
 from cactusshed.member.rumors import Rumors
 from cactusshed.member.view import View
 from cactusshed.wire import control_pb2 as pb
-from standins.process import choose_port
+from standins.ports import choose_port
 
 SECRET = "gossip-secret"
 PROBE_SECONDS = 0.5
--- a/tests/test_listener_mesh.py
+++ b/tests/test_listener_mesh.py
@@ -10,7 +10,7 @@
 from cactusshed.mesh.listener import Listener
 from cactusshed.mesh.messages import Response
 from cactusshed.mesh.table import Limits
-from standins.meshfleet import find_free_port
+from standins.ports import choose_port
 
 from .meshes import run_async
 
@@ -32,7 +32,7 @@
         return Response(200, [], request.path)
 
     listener = Listener(serve, lambda: LIMITS, lambda status: None)
-    port = find_free_port()
+    port = choose_port()
     await listener.open("127.0.0.1", port)
     sweeping = asyncio.create_task(listener.sweep())
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -11,7 +11,7 @@
 from cactusshed.mesh.messages import Response
 from cactusshed.mesh.table import Limits
 from cactusshed.policy.bodybudget import BodyBudget
-from standins.meshfleet import find_free_port
+from standins.ports import choose_port
 
 from .meshes import run_async
 
@@ -59,7 +59,7 @@
         lambda request: request.method == b"GET",
         budget,
     )
-    port = find_free_port()
+    port = choose_port()
     await listener.open("127.0.0.1", port)
     sweeping = asyncio.create_task(listener.sweep())
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -12,7 +12,7 @@
 from cactusshed.options import Address
 from cactusshed.platform import rows
 from cactusshed.platform.rows import ABSENT, ConditionalPut, HistoryGone, RowStore
-from standins.meshfleet import find_free_port
+from standins.ports import choose_port
 from standins.rowstore import open_row_store
 
 from .meshes import run_async
@@ -21,7 +21,7 @@
 @asynccontextmanager
 async def open_store():
     """Yield the stand-in of the store and a client."""
-    address = Address("127.0.0.1", find_free_port())
+    address = Address("127.0.0.1", choose_port())
     app, listener = await open_row_store(address)
     store = RowStore(address, Counters())
     try:
