Uploads stay in their data centre unless it is late; clients' leaving seen behind 64 requests

Cause: the risk of a target in another data centre was the same for an answer of 1.5 KB and an upload of 60 KB. And a connection stopped reading at eight requests, so that a client that left behind them was not seen (GONE).

Change: the risk grows with the body, up to 0.3; reading pauses at 64 requests, eight run. Tests for both, the first seen failing on the code before (the small request of the same test goes far).

--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -190,7 +190,7 @@
             link_mbps = min(self.link_mbps, member.link_mbps) or self.link_mbps
             transfer_seconds = size * 8 / (link_mbps * 1e6)
         return Candidate(
-            node, member.view, is_far, member.state.is_cold, transfer_seconds
+            node, member.view, is_far, member.state.is_cold, transfer_seconds, size
         )
 
     async def _attempt(
--- a/cactusshed/mesh/pipeline.py
+++ b/cactusshed/mesh/pipeline.py
@@ -14,10 +14,13 @@
 from ..observe.lines import log_line
 from .messages import Handler, Request, Response, make_response
 
-__all__ = ["MAX_PIPELINED", "Pipeline"]
+__all__ = ["Pipeline"]
 
-MAX_PIPELINED = 8
-"""Requests of one connection that are read ahead, and that run at the same time."""
+MAX_RUNNING = 8
+"""Requests of one connection that run at the same time."""
+MAX_READ_AHEAD = 64
+"""Requests of one connection at which reading pauses. While it does, the node does not
+see that the client leaves, so it is more than clients send ahead."""
 
 
 @attrs.define(eq=False)
@@ -59,7 +62,7 @@
     @property
     def is_full(self) -> bool:
         """Return whether reading should pause."""
-        return len(self._dispatched) + len(self._waiting) >= MAX_PIPELINED
+        return len(self._dispatched) + len(self._waiting) >= MAX_READ_AHEAD
 
     def add(self, request: Request, *, keep_alive: bool) -> None:
         """Add a request; without `keep_alive` it is the last one."""
@@ -116,7 +119,7 @@
             return False
         if not self._dispatched:
             return True
-        if self.is_closing() or len(self._dispatched) >= MAX_PIPELINED:
+        if self.is_closing() or len(self._dispatched) >= MAX_RUNNING:
             return False
         return all(self.is_safe(other.request) for other in (entry, *self._dispatched))
 
--- a/cactusshed/policy/placement.py
+++ b/cactusshed/policy/placement.py
@@ -62,8 +62,12 @@
 
 
 FAR_RISK = 0.05
-"""Risk added for a target in another data centre: its traffic costs about a
-twentieth of the value of an answer."""
+"""Risk added for a target in another data centre: the traffic of a small request costs
+about a twentieth of the value of its answer."""
+FAR_RISK_PER_KIB = 0.02
+"""Further risk for each KiB of the request's body."""
+MAX_FAR_RISK = 0.3
+"""Limit of both: a caller whose own data centre is late is served from another one."""
 COLD_RISK = 0.1
 """Risk added for a cold target, besides the slowness visible in its answers."""
 STEEPNESS = 3.3
@@ -81,6 +85,7 @@
     is_cold: bool
     transfer_seconds: float = 0.0
     """Time for which the body of the request occupies the links to the target."""
+    body_bytes: int = 0
 
 
 def estimate_late_probability(time_left: float, service_time: float) -> float:
@@ -118,7 +123,10 @@
         delay = wait + candidate.transfer_seconds
         risk = estimate_late_probability(time_left - delay, service_time)
         risk = 1 - (1 - risk) * (1 - view.failure_rate)
-        risk += FAR_RISK * candidate.is_far + COLD_RISK * candidate.is_cold
+        if candidate.is_far:
+            far_risk = FAR_RISK + FAR_RISK_PER_KIB * candidate.body_bytes / 1024
+            risk += min(MAX_FAR_RISK, far_risk)
+        risk += COLD_RISK * candidate.is_cold
         # The wait breaks ties if every target would be late.
         risk += delay / (time_left + delay) if time_left > 0 else delay
         risk *= 1 + RISK_JITTER * rng.random()
--- a/tests/test_bodyparts.py
+++ b/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Large bodies between nodes: parts, memory, and what small frames wait for."""
+"""Links between nodes: large bodies in parts, their memory, and errors in the gate."""
 
 import asyncio
 import time
@@ -12,7 +12,9 @@
 from cactusshed.mesh.bodyparts import PART_BYTES, BodyAssembler
 from cactusshed.mesh.crashes import CrashTracker
 from cactusshed.mesh.frames import (
+    ANSWERED,
     NOT_RUN,
+    UNKNOWN,
     BodyPart,
     Call,
     Load,
@@ -45,9 +47,12 @@
 
     bodies: list = attrs.Factory(list)
     counters: Counters = attrs.Factory(Counters)
+    error: Exception | None = None
 
     async def run(self, call):
         """Return the size of the body as the answer."""
+        if self.error is not None:
+            raise self.error
         self.bodies.append(call.body)
         return Result(call.number, 0, self.get_load(), 200, body=call.body)
 
@@ -194,6 +199,31 @@
     assert_that((bodies, is_closed), Equals(([], False)))
 
 
+def test_error_in_the_gate_is_answered():
+    """An unexpected error in one call gives it an unknown outcome, and ends no link."""
+
+    async def run():
+        frames = []
+        async with open_link_pair(
+            BodyBudget(1000), lambda _link, frame: frames.append(frame)
+        ) as (link, gate, _received, inbound):
+            gate.error = KeyError("unexpected")
+            link.send(make_call(number=1))
+            async with asyncio.timeout(10):
+                while not frames:
+                    await asyncio.sleep(0.005)
+            gate.error = None
+            link.send(make_call("r2", number=2))
+            async with asyncio.timeout(10):
+                while len(frames) < 2:
+                    await asyncio.sleep(0.005)
+            return [(f.number, f.outcome, f.code) for f in frames], inbound.running
+
+    results, running = run_async(run)
+    assert_that(results, Equals([(1, UNKNOWN, "internal-error"), (2, ANSWERED, "")]))
+    assert_that(running, Equals(0))
+
+
 @pytest.mark.parametrize("how", ["cancelled", "lost"])
 def test_incomplete_body_returns_its_memory(how):
     """A call that is cancelled, or whose link is lost, in the middle is dropped."""
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -156,6 +156,15 @@
     assert_that(choose([busy, slow]), Equals({"local": 100}))
 
 
+def test_a_large_body_leaves_its_data_centre_only_to_be_in_time():
+    """An upload stays at busier targets nearby, unless these would be late."""
+    far = attrs.evolve(make_candidate("far", far=True), body_bytes=60_000)
+    assert_that(choose([make_candidate("near", 14), far]), Equals({"near": 100}))
+    assert_that(choose([make_candidate("near", 45), far]), Equals({"far": 100}))
+    small = attrs.evolve(far, body_bytes=0)
+    assert_that(choose([make_candidate("near", 14), small]), Equals({"far": 100}))
+
+
 def test_a_burst_from_one_node_is_spread_though_reports_are_old():
     """The node's own calls since the last report count as load."""
     candidates = [make_candidate(str(n)) for n in range(4)]
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -189,6 +189,22 @@
     assert_that((served.started, connections), Equals((["/a", "/b"], 0)))
 
 
+def test_client_that_leaves_is_noticed_behind_many_requests():
+    """Twenty requests wait behind one; all of them end when the client leaves."""
+
+    async def run():
+        async with open_listener() as (_, served, _, writer):
+            served.seconds = {"/slow": 5.0}
+            writer.write(make_request("/slow", "POST"))
+            writer.write(b"".join(make_request(f"/{n}") for n in range(20)))
+            await asyncio.sleep(WORK_SECONDS)
+            writer.close()
+            await asyncio.sleep(WORK_SECONDS)
+            return served.cancelled, served.started
+
+    assert_that(run_async(run), Equals((["/slow"], ["/slow"])))
+
+
 def test_client_that_shuts_its_sending_side_counts_as_gone():
     """It can't be told from one that has left, so its requests end at once."""
 
