--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from ..observe.lines import log_line
 from ..policy.bodybudget import RETRY_SECONDS
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
@@ -232,6 +233,7 @@
         self._listener.on_refused(status)
         headers = []
         if status == 503:
+            log_line("no-memory", path=self._url[:80])
             headers.append((b"retry-after", b"%.3f" % RETRY_SECONDS))
         self._pipeline.add_refusal(make_response(status, headers=headers))
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import attrs
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -17,10 +18,13 @@
     UNKNOWN,
     BodyPart,
     Call,
+    Hello,
     Load,
     ReaderHeartbeat,
     Result,
+    TargetState,
 )
+from cactusshed.mesh.framing import FrameDecoder, encode_frame
 from cactusshed.mesh.inbound import Inbound
 from cactusshed.mesh.link import dial_link, serve_links
 from cactusshed.observe.counters import Counters
@@ -267,3 +271,28 @@
             await fleet.close()
 
     assert_that(run_async(run), Equals((b"200", True, 0)))
+
+
+class OldHello(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """`Hello` of the build before bodies in parts."""
+
+    node: str
+    start_time: int
+    data_centre: str
+    address: str
+    service: str
+    state: TargetState
+    link_mbps: float
+    remembered: TargetState | None = None
+
+
+def test_builds_before_and_after_parts_read_each_others_hello():
+    """An old node ignores the new field; without it a node gets whole frames."""
+    fields = ("n", 1, "dc", "127.0.0.1:1", "s", TargetState(), 10.0)
+    new = encode_frame(Hello(*fields, takes_parts=True))
+    read_by_old = msgspec.msgpack.decode(new[4:], type=OldHello)
+    assert_that(read_by_old, Equals(OldHello(*fields)))
+    old = msgspec.msgpack.encode(OldHello(*fields))
+    (read_by_new,) = FrameDecoder().feed(len(old).to_bytes(4, "big") + old)
+    assert_that(read_by_new, Equals(Hello(*fields)))
+    assert_that(read_by_new.takes_parts, Equals(False))
