Soak clients that pipeline and upload; candidates split off from dispatch

The soak's submissions have bodies of up to 60 KB, and two clients send several safe requests at once.

--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -9,6 +9,7 @@
 
 from ..clock import read_monotonic
 from ..mesh.callers import CallerHandler
+from ..mesh.candidates import Candidates
 from ..mesh.crashes import CrashTracker
 from ..mesh.dispatch import Dispatcher
 from ..mesh.frames import Call, Result, TargetState
@@ -37,6 +38,8 @@
 """Retry budget: share of the requests, window in seconds and slack; as on the users'
 sites."""
 MAX_ATTEMPTS = 2
+LINK_MBPS = 1000.0
+"""Speed of the links; emulated requests have no bodies."""
 START_SECONDS = 0.4
 """Time from the return of power until the other nodes see a node and its target."""
 
@@ -188,14 +191,17 @@
 
     def _connect_node(self, node: Node) -> None:
         rng = random.Random(self._rng.random())
-        dispatcher = Dispatcher(
+        peers = _Peers(node, self.nodes, self.load.hop_seconds)
+        candidates = Candidates(
             node.name,
             node.data_centre,
-            _Peers(node, self.nodes, self.load.hop_seconds),
+            LINK_MBPS,
+            peers,
             node.gate,
             lambda _data_centre: False,
-            node.gate.counters,
-            rng=rng,
+        )
+        dispatcher = Dispatcher(
+            candidates, peers, node.gate, node.gate.counters, rng=rng
         )
         node.caller_handler = CallerHandler(
             _Records(self._table),
--- /dev/null
+++ b/cactusshed/mesh/candidates.py
@@ -0,0 +1,79 @@
+"""The open targets of a service, as the node that received a call sees them."""
+
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from ..clock import read_monotonic
+from ..policy.placement import Candidate, LoadView
+from .gate import Gate
+from .member import Member
+from .peers import Peers
+
+__all__ = ["Candidates"]
+
+MIN_TRANSFER_BYTES = 4 << 10
+"""Size from which a body's time on the links counts: 7 ms at 5 Mbit/s."""
+
+
+@attrs.define
+class Candidates:
+    """Lists the targets that a call may be sent to."""
+
+    node: str
+    data_centre: str
+    link_mbps: float
+    peers: Peers
+    gate: Gate
+    is_evacuated: Callable[[str], bool]
+    _local_view: LoadView = attrs.Factory(LoadView)
+
+    def list_open(
+        self, service: str, version: str, body_bytes: int
+    ) -> Iterator[tuple[Candidate, Member | None]]:
+        """Yield each open target and its node; the node is `None` for the local target.
+
+        An empty `version` stands for any; `body_bytes` is the size of the call's body.
+        """
+        for member in self._list_members(service, version):
+            yield self._make_remote(member, body_bytes), member
+        local = self._make_local(service, version)
+        if local is not None:
+            yield local, None
+
+    def _list_members(self, service: str, version: str) -> Iterator[Member]:
+        for member in self.peers.list_connected(service):
+            state = member.state
+            if not state.is_open or member.is_leaving:
+                continue
+            if self.is_evacuated(member.data_centre):
+                continue
+            if not version or state.version == version:
+                yield member
+
+    def _make_local(self, service: str, version: str) -> Candidate | None:
+        gate = self.gate
+        if service != gate.service or not gate.is_open:
+            return None
+        if version and version != gate.version:
+            return None
+        load = gate.get_load()
+        now = read_monotonic()
+        busy = load.running + load.waiting
+        self._local_view.report(busy, load.limit, load.mean_service_ms / 1000, now)
+        return Candidate(self.node, self._local_view, False, gate.cold.is_cold(now))
+
+    def _make_remote(self, member: Member, body_bytes: int) -> Candidate:
+        is_far = member.data_centre != self.data_centre
+        transfer_seconds = 0.0
+        if body_bytes >= MIN_TRANSFER_BYTES:
+            link_mbps = min(self.link_mbps, member.link_mbps) or self.link_mbps
+            transfer_seconds = body_bytes * 8 / (link_mbps * 1e6)
+        return Candidate(
+            member.node,
+            member.view,
+            is_far,
+            member.state.is_cold,
+            transfer_seconds,
+            body_bytes,
+        )
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
@@ -10,6 +10,7 @@
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..policy.placement import Candidate, LoadView, order_candidates
+from .candidates import Candidates
 from .exchange import MIN_FAILURE_STATUS
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
 from .gate import Gate
@@ -26,8 +27,6 @@
 gate was already the next best choice."""
 MAX_ATTEMPTS = 8
 """Maximum number of gates that one call tries, for whatever reason."""
-MIN_TRANSFER_BYTES = 4 << 10
-"""Size from which a body's time on the links counts: 7 ms at 5 Mbit/s."""
 EMPTY_LOAD = Load(0, 0, 1, 0.0)
 """Load in results that come from no gate."""
 NO_TARGET_RETRY_MS = 150
@@ -89,14 +88,10 @@
 class Dispatcher:
     """Sends calls to targets; `baseline_latency` is in seconds by route."""
 
-    node: str
-    data_centre: str
+    candidates: Candidates
     peers: Peers
     gate: Gate
-    is_evacuated: Callable[[str], bool]
     counters: Counters
-    link_mbps: float = 1000.0
-    local_view: LoadView = attrs.Factory(LoadView)
     rng: random.Random = attrs.Factory(random.Random)
     baseline_latency: dict[str, float] = attrs.Factory(dict)
 
@@ -137,61 +132,25 @@
         baseline_latency = self.baseline_latency.get(
             plan.call.route, plan.call.soft_timeout_ms / 3000
         )
-        version = state.version
-        members = {m.node: m for m in self._list_open(plan.call.service, version)}
-        candidates = [
-            self._make_candidate(node, member, len(plan.call.body))
-            for node, member in members.items()
-            if node not in state.tried
-        ]
-        local = self._make_local_candidate(plan.call.service, version)
-        if local is not None and self.node not in state.tried:
-            candidates.append(local)
+        members = {
+            candidate.name: (candidate, member)
+            for candidate, member in self.candidates.list_open(
+                plan.call.service, state.version, len(plan.call.body)
+            )
+            if candidate.name not in state.tried
+        }
         remaining = plan.soft_deadline - now
         if remaining <= 0 or plan.call.is_nested:
             remaining = plan.deadline - now
-        ordered = order_candidates(
-            candidates, baseline_latency, remaining, now, self.rng
-        )
+        options = [candidate for candidate, _ in members.values()]
+        ordered = order_candidates(options, baseline_latency, remaining, now, self.rng)
         if not ordered:
             return None
         wait, candidate = ordered[0]
         is_last = state.probes >= MAX_PROBES or len(ordered) == 1
         plan.call.may_wait = wait > 0 or is_last
-        plan.call.version = version
-        return candidate, members.get(candidate.name)
-
-    def _list_open(self, service: str, version: str) -> Iterator[Member]:
-        for member in self.peers.list_connected(service):
-            state = member.state
-            if not state.is_open or member.is_leaving:
-                continue
-            if self.is_evacuated(member.data_centre):
-                continue
-            if not version or state.version == version:
-                yield member
-
-    def _make_local_candidate(self, service: str, version: str) -> Candidate | None:
-        gate = self.gate
-        if service != gate.service or not gate.is_open:
-            return None
-        if version and version != gate.version:
-            return None
-        load = gate.get_load()
-        now = read_monotonic()
-        busy = load.running + load.waiting
-        self.local_view.report(busy, load.limit, load.mean_service_ms / 1000, now)
-        return Candidate(self.node, self.local_view, False, gate.cold.is_cold(now))
-
-    def _make_candidate(self, node: str, member: Member, size: int) -> Candidate:
-        is_far = member.data_centre != self.data_centre
-        transfer_seconds = 0.0
-        if size >= MIN_TRANSFER_BYTES:
-            link_mbps = min(self.link_mbps, member.link_mbps) or self.link_mbps
-            transfer_seconds = size * 8 / (link_mbps * 1e6)
-        return Candidate(
-            node, member.view, is_far, member.state.is_cold, transfer_seconds, size
-        )
+        plan.call.version = state.version
+        return members[candidate.name]
 
     async def _attempt(
         self,
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -19,6 +19,7 @@
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
 from .callers import CallerHandler
+from .candidates import Candidates
 from .crashes import CrashTracker
 from .dispatch import Dispatcher
 from .frames import Frame, Hello, StateUpdate, Strike, TargetState
@@ -228,15 +229,15 @@
             self.peers,
             self.moves,
         )
-        dispatcher = Dispatcher(
+        candidates = Candidates(
             settings.node,
             settings.data_centre,
+            settings.link_mbps,
             self.peers,
             self.gate,
             lambda data_centre: data_centre in self.records.evacuated,
-            self.counters,
-            settings.link_mbps,
         )
+        dispatcher = Dispatcher(candidates, self.peers, self.gate, self.counters)
         caller_handler = CallerHandler(
             self.records,
             dispatcher,
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -13,13 +13,15 @@
 
 from .fleet import Fleet, Node
 
-__all__ = ["Clients", "Record"]
+__all__ = ["ANSWER_TIMEOUT_SECONDS", "DEADLINE_SECONDS", "Clients", "Record"]
 
 DEADLINE_SECONDS = 1.0
 ANSWER_TIMEOUT_SECONDS = 2.5
 """Client timeout; it exceeds the deadline by far more than a node may overrun it."""
 PAUSE_SECONDS = 0.05
 """Mean pause between two requests of one client."""
+BODY_BYTES = (0, 0, 100, 60_000)
+"""Sizes of the bodies of submissions; the largest travels in parts between nodes."""
 PROBE_SECONDS = 0.5
 """Pause between two readiness probes of the nodes."""
 
@@ -53,7 +55,7 @@
         self.added_routes: dict[str, float] = {}
         """Monotonic time at which each route was added, the oldest first."""
         self._fleet = fleet
-        self._rng = rng
+        self.rng = rng
         self._request_numbers = itertools.count(1)
         self._ready_nodes: set[str] = set()
 
@@ -71,25 +73,30 @@
         """Send requests until cancelled; connections are reused."""
         connections: dict[str, Upstream] = {}
         while True:
-            node = self._choose_node()
+            node = self.choose_node()
             if node is not None:
                 await self._send_request(node, connections)
-            await asyncio.sleep(PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
+            await asyncio.sleep(PAUSE_SECONDS * self.rng.uniform(0.5, 1.5))
 
-    def _choose_node(self) -> Node | None:
+    def choose_node(self) -> Node | None:
+        """Return a random node that is ready, if there is one."""
         nodes = [n for n in self._fleet.nodes if n.name in self._ready_nodes]
-        return self._rng.choice(nodes) if nodes else None
+        return self.rng.choice(nodes) if nodes else None
 
     def _choose_path(self) -> str:
         paths = ["/read/x", "/read/y", "/write/z"]
         paths.extend(f"/{name}/x" for name in list(self.added_routes)[-2:])
-        return self._rng.choice(paths)
+        return self.rng.choice(paths)
 
-    async def _send_request(self, node: Node, connections: dict[str, Upstream]) -> None:
-        path = self._choose_path()
+    def make_record(self, node: Node, path: str = "/read/x") -> Record:
+        """Return the record of a new request to a node."""
         request_id = f"r{next(self._request_numbers)}"
         record = Record(request_id, path, node.name, node.start_count, time.monotonic())
         self.records.append(record)
+        return record
+
+    async def _send_request(self, node: Node, connections: dict[str, Upstream]) -> None:
+        record = self.make_record(node, self._choose_path())
         try:
             await self._exchange(node, connections, record)
         except (CactusError, TimeoutError) as error:
@@ -102,7 +109,9 @@
         upstream = connections.get(node.name)
         if upstream is None or not upstream.is_usable():
             upstream = connections[node.name] = await open_upstream(node.caller_address)
-        method = b"POST" if record.path.startswith("/write") else b"GET"
+        method, body = b"GET", b""
+        if record.path.startswith("/write"):
+            method, body = b"POST", b"x" * self.rng.choice(BODY_BYTES)
         data = render_request(
             method,
             record.path,
@@ -110,6 +119,7 @@
                 "x_attempt_id": record.request_id,
                 "x_deadline_ms": str(int(1000 * DEADLINE_SECONDS)),
             },
+            body,
         )
         async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
             answer = await upstream.exchange(data)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -11,12 +11,15 @@
 from .clients import Clients
 from .faults import FAULTS, Injector
 from .fleet import Fleet
+from .pipelined import run_pipelined
 
 __all__ = ["Report", "run_soak"]
 
 FAULT_SERIES = 2
 """Number of concurrent series of faults."""
 CLIENTS_PER_NODE = 3
+PIPELINING_CLIENTS = 2
+"""Clients of the fleet that send several safe requests at once."""
 RECOVERY_SECONDS = 7.0
 """Time without new faults at the end, for the check that the fleet recovers."""
 
@@ -54,6 +57,9 @@
         asyncio.create_task(clients.run())
         for _ in range(CLIENTS_PER_NODE * len(fleet.nodes))
     ]
+    tasks += [
+        asyncio.create_task(run_pipelined(clients)) for _ in range(PIPELINING_CLIENTS)
+    ]
     injector = Injector(fleet, clients, rng, kinds or tuple(FAULTS))
     await asyncio.sleep(1.0)
     end_time = time.monotonic() + seconds
