A silent request is given up only where it will be sent again, and on more evidence

Change: the first node says in each call whether it will try another target: not for the last attempt, nor while it shuts down. And three requests must be silent at the same time at a target: one or two may just take long.

--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -92,6 +92,8 @@
     peers: Peers
     gate: Gate
     counters: Counters
+    is_leaving: Callable[[], bool] = lambda: False
+    """Returns whether this node shuts down; it then awaits every answer to the end."""
     rng: random.Random = attrs.Factory(random.Random)
     baseline_latency: dict[str, float] = attrs.Factory(dict)
 
@@ -165,6 +167,11 @@
         call.soft_timeout_ms = max(0, int((plan.soft_deadline - now) * 1000))
         call.is_retry = state.arrivals > 0
         call.may_have_run = state.failure is not None
+        call.may_abandon = (
+            call.is_idempotent
+            and state.arrivals + 1 < plan.max_attempts
+            and not self.is_leaving()
+        )
         call.attempt += 1
         state.last = candidate.name
         view = candidate.view
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -62,7 +62,7 @@
     ) -> None:
         """End the wait for answers that will not come; see `SilenceDetector`."""
         for sent in list(self.silence.find_silent(now, limit, get_service_time)):
-            sent.may_repeat = False
+            sent.may_abandon = False
             sent.abandon()
 
     async def send(self, call: Call, ticket: Ticket) -> tuple[Result, Answer | None]:
@@ -80,7 +80,7 @@
             call.route,
             started,
             deadline,
-            call.is_idempotent,
+            call.may_abandon,
             lambda: timeout.reschedule(loop.time()),
         )
         self.silence.add(sent)
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -115,6 +115,8 @@
     may_wait: bool
     body_size: int = 0
     """Size of a body that follows in parts; 0 if `body` is the whole body."""
+    may_abandon: bool = False
+    """Whether the first node tries another target if this one stays silent."""
 
 
 class Result(msgspec.Struct, array_like=True, tag=3):
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -237,7 +237,13 @@
             self.gate,
             lambda data_centre: data_centre in self.records.evacuated,
         )
-        dispatcher = Dispatcher(candidates, self.peers, self.gate, self.counters)
+        dispatcher = Dispatcher(
+            candidates,
+            self.peers,
+            self.gate,
+            self.counters,
+            lambda: self.is_leaving,
+        )
         caller_handler = CallerHandler(
             self.records,
             dispatcher,
--- a/cactusshed/policy/silence.py
+++ b/cactusshed/policy/silence.py
@@ -16,6 +16,9 @@
 slowest hundredth of the users' requests takes three to five times the mean."""
 MIN_SECONDS = 0.2
 """Shortest time after which a request may be abandoned."""
+MIN_SILENT = 3
+"""Requests without an answer at the same time that show a target to leave some
+unanswered; one or two of them may just take long."""
 
 
 @attrs.define(eq=False)
@@ -25,7 +28,8 @@
     route: str
     sent_at: float
     deadline: float
-    may_repeat: bool
+    may_abandon: bool
+    """Whether the request will be sent elsewhere if it is abandoned."""
     abandon: Callable[[], None]
     """Ends the wait for the answer."""
     overtaken_by: int = 0
@@ -60,12 +64,16 @@
         been answered. A target that is slow as a whole abandons nothing so, and
         neither does one whose caller has no time for another attempt.
         """
-        for sent in self._sent:
-            if not sent.may_repeat or sent.overtaken_by < limit:
-                continue
-            service_time = get_service_time(sent.route)
-            waited = now - sent.sent_at
-            if waited < max(MIN_SECONDS, SERVICE_TIMES * service_time):
-                continue
-            if sent.deadline - now > service_time:
+        silent = [
+            sent
+            for sent in self._sent
+            if sent.overtaken_by >= limit
+            and now - sent.sent_at
+            >= max(MIN_SECONDS, SERVICE_TIMES * get_service_time(sent.route))
+        ]
+        if len(silent) < MIN_SILENT:
+            return
+        for sent in silent:
+            has_time = sent.deadline - now > get_service_time(sent.route)
+            if sent.may_abandon and has_time:
                 yield sent
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -148,6 +148,21 @@
     assert_that(data.rpartition(b"HTTP/1.1")[2], Contains(b"connection: close"))
 
 
+def test_safe_request_that_arrives_during_a_stop_is_not_dispatched_behind_others():
+    """It would be cut off, or keep the connection of a node that stops open."""
+
+    async def run():
+        async with open_listener() as (listener, served, reader, writer):
+            writer.write(make_request("/a"))
+            await asyncio.sleep(WORK_SECONDS / 2)
+            listener.is_closing = True
+            writer.write(make_request("/b"))
+            return await reader.read(), served.started
+
+    data, started = run_async(run)
+    assert_that((list_statuses(data), started), Equals(([200], ["/a"])))
+
+
 def test_request_that_closes_is_the_last_one():
     """What follows a request with `connection: close` is not run."""
     last = make_request("/b", "GET", b"", "connection: close")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from cactusshed.mesh import storesync
+from cactusshed.mesh.gate import Gate
 from cactusshed.mesh.upstream import UpstreamFailed
 from standins.meshfleet import (
     MeshFleet,
@@ -404,6 +405,28 @@
     assert_that(second, LessThan(710))
 
 
+def test_leaving_node_awaits_every_answer(monkeypatch):
+    """A gate may give up a silent request only for a node that will send it again."""
+    seen = []
+    run_call = Gate.run
+
+    async def run_and_note(gate, call):
+        seen.append(call.may_abandon)
+        return await run_call(gate, call)
+
+    monkeypatch.setattr(Gate, "run", run_and_note)
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, nodes):
+            await nodes[0].request("/read/x")
+            await nodes[0].request("/write/x", b"POST")
+            nodes[0].sidecar.is_leaving = True
+            await nodes[0].request("/read/x")
+
+    run_async(work)
+    assert_that(seen, Equals([True, False, False]))
+
+
 def test_leaving_node_serves_accepted_requests_and_then_refuses():
     """No request that the node accepts after SIGTERM may lose its answer."""
 
