--- a/cactusshed/mesh/relay.py
+++ b/cactusshed/mesh/relay.py
@@ -52,8 +52,9 @@
     records: Records
     is_leaving: Callable[[], bool]
     last_store_answer: float = float("-inf")
-    _last_heartbeats: dict[str, float] = attrs.Factory(dict)
+    """Time of the store's last answer to a read; in the past after a failed one."""
     started_at: float = attrs.Factory(read_monotonic)
+    _last_heartbeats: dict[str, float] = attrs.Factory(dict)
     _was_reader: bool = False
     _pull_sent_at: float = float("-inf")
 
