Gates record the limit and the leaving that targets state in their answers

Cause: gates reported neither the calls that they start nor a limit of the target, so logs could not tell a limit that nobody reads from one that is evaded or forgotten. Change: every answer of the target is read for Server-Limit and Server-Leaving (mesh/notices.py, policy/ratelimit.py); changes are logged, starts are counted, the limit is a gauge. Nothing is enforced.

--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -182,6 +182,7 @@
             service=service.name,
             count_gates=lambda: gate_count,
             on_restart_suspected=lambda: None,
+            on_leaving=lambda _sent_at: None,
         )
         gate.queue.limit = service.slots
         gate.cold.adjust(service.cold_rate, COLD_FACTOR, COLD_SLACK)
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -58,6 +58,7 @@
     """Start times of the targets whose leave was acknowledged, by name; 0 if the leave
     contained none. A leave may arrive before this node knows the target."""
     _check_requested: asyncio.Event = attrs.Factory(asyncio.Event)
+    _says_leaving: bool = False
 
     # State.
 
@@ -236,6 +237,12 @@
             after_ms=int((read_monotonic() - started) * 1000),
         )
 
+    def note_leaving(self, sent_at: float) -> None:
+        """Note that the answer to a request sent at `sent_at` announced the leave."""
+        if not self._says_leaving:
+            log_line("target-says-leaving", instance=self.state.name)
+        self._says_leaving = True
+
     # Health checks.
 
     def suspect_restart(self) -> None:
@@ -257,6 +264,7 @@
         service = self.records.table.services.get(self.gate.service)
         if service is None:
             return False
+        sent_at = read_monotonic()
         try:
             answer = await request_health(self.gate.pool, service.health_path)
         except CactusError as error:
@@ -272,6 +280,7 @@
             self.gate.set_close_reason("target-unknown", True)
             log_line("target-replaced", known=self.state.name, found=instance)
             return True
+        self.gate.notices.read_health(answer, sent_at)
         cold_ms = answer.find(header_names.COLD_MS) or b"0"
         seconds = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
         self.gate.set_close_reason("target-down", False)
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -15,6 +15,7 @@
 from ..policy.silence import SentRequest, SilenceDetector
 from .crashes import CrashTracker, make_fingerprint
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
+from .notices import TargetNotices
 from .pool import ConnectionPool
 from .tallies import TallyRecorder
 from .targetclient import exchange_call, filter_headers
@@ -38,6 +39,7 @@
     crash_tracker: CrashTracker
     tallies: TallyRecorder
     cold: ColdStartGuard
+    notices: TargetNotices
     get_load: Callable[[], Load]
     get_instance: Callable[[], str]
     """Returns the identity of the target that requests are addressed to."""
@@ -147,6 +149,7 @@
             )
             self.suspect_restart(is_down=False)
             return self.refuse(call, "other-instance")
+        self.notices.read(answer, started)
         if answer.find(header_names.NOT_RUN) is not None:
             self.counters.add("target_refused")
             result = self.refuse(call, "target-refused")
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -21,6 +21,7 @@
 from .crashes import CrashTracker, make_fingerprint
 from .exchange import MIN_FAILURE_STATUS, TargetExchange
 from .frames import Call, Load, Result
+from .notices import TargetNotices
 from .outcomes import CallOutcomes
 from .pool import ConnectionPool
 from .tallies import TallyRecorder
@@ -50,6 +51,9 @@
     count_gates: Callable[[], int]
     on_restart_suspected: Callable[[], None]
     """Called when the target may have restarted; starts a health check."""
+    on_leaving: Callable[[float], None]
+    """Called when an answer says that the target is leaving, with the time at which its
+    request was sent."""
     queue: AdmissionQueue = attrs.Factory(lambda: AdmissionQueue(1))
     cold: ColdStartGuard = attrs.Factory(ColdStartGuard)
     backpressure: RouteBackpressure = attrs.Factory(RouteBackpressure)
@@ -60,12 +64,14 @@
     """Identity of the target that requests are addressed to."""
     version: str = ""
     close_reasons: dict[str, None] = attrs.Factory(lambda: {"target-unknown": None})
+    notices: TargetNotices = attrs.field(init=False)
     exchange: TargetExchange = attrs.field(init=False)
     _waiting: dict[Ticket, asyncio.Future] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Start closed, because the target is not known yet."""
         self.queue.close("target-unknown")
+        self.notices = TargetNotices(lambda: self.instance, self.on_leaving)
         self.exchange = TargetExchange(
             self.pool,
             self.counters,
@@ -73,6 +79,7 @@
             self.crash_tracker,
             self.tallies,
             self.cold,
+            self.notices,
             self.get_load,
             lambda: self.instance,
             self.suspect_restart,
@@ -159,6 +166,7 @@
 
     def _count_start(self, ticket: Ticket) -> None:
         now = read_monotonic()
+        self.counters.add("gate_started")
         if self.cold.is_cold(now):
             self.cold.bucket.take(now)
         self.backpressure.note_start(ticket.route, now)
--- a/cactusshed/mesh/probes.py
+++ b/cactusshed/mesh/probes.py
@@ -51,6 +51,7 @@
             ("peers_up", sum(m.is_up for m in node.peers.members.values())),
             ("gate_open", float(gate.is_open)),
             ("gate_cold", float(gate.cold.is_cold(now))),
+            ("gate_rate_limit", gate.notices.rate_limit.rate or 0.0),
             ("gate_running", gate.queue.running),
             ("gate_waiting", gate.queue.waiting),
             ("gate_mean_seconds", gate.queue.get_mean_seconds()),
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -83,6 +83,7 @@
             service=settings.service,
             count_gates=lambda: 1 + self.peers.count_gates(settings.service),
             on_restart_suspected=lambda: self.announcements.suspect_restart(),
+            on_leaving=lambda sent_at: self.announcements.note_leaving(sent_at),
         )
         self.announcements = Announcements(
             self.gate,
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -1,4 +1,6 @@
-"""Names of the platform's HTTP headers, in lower case."""
+"""Names of the platform's HTTP headers, in lower case, and readers of their values."""
+
+import math
 
 __all__ = [
     "ATTEMPT_ID",
@@ -7,10 +9,13 @@
     "DEADLINE_MS",
     "EXPECTED_INSTANCE",
     "INSTANCE",
+    "LEAVING",
     "LOAD",
     "NOT_RUN",
+    "RATE_LIMIT",
     "SEAL",
     "read_load",
+    "read_rate_limit",
 ]
 
 ATTEMPT_ID = b"x-attempt-id"
@@ -31,6 +36,20 @@
 """Milliseconds until a cold target is warm; absent if it is warm."""
 LOAD = b"x-server-load"
 """Running requests, waiting requests and slots of a target."""
+RATE_LIMIT = b"server-limit"
+"""Requests per second that a target takes from all hosts together; absent if it names
+no limit."""
+LEAVING = b"server-leaving"
+"""`1` in every answer of a target that is leaving."""
+
+
+def read_rate_limit(text: bytes | None) -> float | None:
+    """Parse a rate limit in requests per second; `None` if absent or malformed."""
+    try:
+        rate = float(text or b"")
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
 
 
 def read_load(text: bytes | None) -> tuple[int, int, int] | None:
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -34,6 +34,10 @@
     instance: str = "i-1"
     work_seconds: float = 0.0
     cold_ms: int | None = None
+    rate_limit: str = ""
+    """Limit in requests per second that it names in every answer, if any."""
+    is_leaving: bool = False
+    """Whether every answer says that it is leaving."""
     script: dict[str, str] = attrs.Factory(dict)
     runs: Counter = attrs.Factory(Counter)
     requests: list[tuple[bytes, dict[bytes, bytes], bytes]] = attrs.Factory(list)
@@ -74,7 +78,8 @@
         body = await reader.readexactly(int(headers.get(b"content-length", 0)))
         path = request_line.split(b" ")[1]
         if path == b"/healthz":
-            self._write(writer, 200, headers, b"", sealed=False, health=True)
+            status = 503 if self.is_leaving else 200
+            self._write(writer, status, headers, b"", sealed=False, health=True)
             return True
         expected = headers.get(b"x-expect-instance", b"").decode()
         if expected and expected != self.instance:
@@ -171,6 +176,10 @@
             lines.append(b"x-response-seal: s")
         if refused:
             lines.append(b"x-not-executed: 1")
+        if self.rate_limit:
+            lines.append(b"server-limit: " + self.rate_limit.encode())
+        if self.is_leaving:
+            lines.append(b"server-leaving: 1")
         if health or status == 421:
             lines.append(b"x-instance-id: " + self.instance.encode())
             if self.cold_ms is not None:
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -61,11 +61,16 @@
 
 @attrs.define
 class OpenGate:
-    """A gate, its stand-in target and an entry for each suspected restart."""
+    """A gate, its stand-in target, and what it has reported.
+
+    `restarts` has an entry for each suspected restart, `leaves` the time of sending of
+    each request whose answer says that the target is leaving.
+    """
 
     gate: Gate
     target: object
     restarts: list
+    leaves: list
 
 
 @asynccontextmanager
@@ -73,6 +78,7 @@
     """Yield an open gate with a warm stand-in target of `slots` slots."""
     target = await open_mesh_target(**fields)
     restarts = []
+    leaves = []
     quarantine = Quarantine()
     gate = Gate(
         pool=ConnectionPool(target.address, header_names.ATTEMPT_ID),
@@ -84,6 +90,7 @@
         service="s",
         count_gates=lambda: 1,
         on_restart_suspected=lambda: restarts.append(1),
+        on_leaving=leaves.append,
     )
     gate.instance = target.instance
     gate.version = "v1"
@@ -92,7 +99,7 @@
     gate.cold.set_cold_time(0.0, 0.0)
     ticking = asyncio.create_task(gate.tick())
     try:
-        yield OpenGate(gate, target, restarts)
+        yield OpenGate(gate, target, restarts, leaves)
     finally:
         ticking.cancel()
         gate.pool.close()
