--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,177 @@
+"""Tests of limits and leaves that targets state in the headers of their answers."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from cactusshed.clock import read_monotonic
+from cactusshed.platform.headers import read_rate_limit
+from standins.meshfleet import MeshFleet, make_document, wait_for
+
+from .meshes import make_call, open_gate, run_async
+
+ROUTES = {"/read/": {}, "/write/": {"kind": "unsafe"}}
+LIMIT = 10.0
+"""Requests per second that the target of a test names as its limit."""
+
+
+@asynccontextmanager
+async def open_fleet(*names):
+    """Yield connected nodes whose targets serve one service."""
+    fleet = await MeshFleet.open()
+    fleet.store.put_json("op", "config", make_document(1, ROUTES, ["a"]))
+    try:
+        yield fleet, await fleet.start_connected(*names)
+    finally:
+        await fleet.close()
+
+
+async def send_evenly(nodes, per_second, seconds):
+    """Send requests to all nodes in turn and return the statuses."""
+    requests = []
+    for number in range(int(per_second * seconds)):
+        node = nodes[number % len(nodes)]
+        requests.append(asyncio.create_task(node.request("/read/x")))
+        await asyncio.sleep(1 / per_second)
+    return [answer.status for answer in await asyncio.gather(*requests)]
+
+
+def allow(seconds):
+    """Return how many requests a target with `LIMIT` may get in some `seconds`."""
+    return 1.5 * LIMIT * seconds + 5
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [
+        (b"53.1", 53.1),
+        (b"0", 0.0),
+        (None, None),
+        (b"", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"many", None),
+    ],
+)
+def test_malformed_rate_limit_is_ignored(text, rate):
+    """A header that is no rate must not stop a target or lift its limits."""
+    assert_that(read_rate_limit(text), Equals(rate))
+
+
+def test_gate_reads_the_limit_from_every_answer():
+    """A refusal names the limit as well, and an answer without it ends it."""
+
+    async def work():
+        async with open_gate() as opened:
+            limit = opened.gate.notices.rate_limit
+            opened.target.rate_limit = "7.5"
+            opened.target.script["/a/"] = "shed"
+            await opened.gate.run(make_call("r1"))
+            named = limit.rate
+            opened.target.rate_limit = ""
+            await opened.gate.run(make_call("r2"))
+            return named, limit.rate
+
+    assert_that(run_async(work), Equals((7.5, None)))
+
+
+def test_answer_overtaken_by_a_limit_does_not_end_it():
+    """A request sent before the limit was named is answered without it afterwards."""
+
+    async def work():
+        async with open_gate(work_seconds=0.2) as opened:
+            slow = asyncio.create_task(opened.gate.run(make_call("r1")))
+            await asyncio.sleep(0.05)
+            limit = opened.gate.notices.rate_limit
+            limit.note_answer(7.5, read_monotonic(), read_monotonic())
+            await slow
+            return limit.rate
+
+    assert_that(run_async(work), Equals(7.5))
+
+
+def test_target_gets_no_more_than_the_limit_it_names():
+    """A target in need got the full traffic of all nodes although it named a limit."""
+
+    async def work():
+        async with open_gate(slots=60, work_seconds=0.01) as opened:
+            opened.target.rate_limit = str(LIMIT)
+            await opened.gate.run(make_call("first"))
+            before = opened.target.runs.total()
+            calls = []
+            for number in range(200):
+                call = make_call(f"r{number}", remaining_ms=500, soft_timeout_ms=300)
+                calls.append(asyncio.create_task(opened.gate.run(call)))
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*calls)
+            return opened.target.runs.total() - before
+
+    started = run_async(work)
+    assert_that(started, LessThan(allow(2.5)))
+    assert_that(started, GreaterThan(LIMIT))
+
+
+def test_limit_holds_for_all_nodes_and_after_a_restart_of_the_gate():
+    """A gate that restarted did not know the limit that its target had named."""
+
+    async def work():
+        async with open_fleet("n1", "n2", "n3") as (fleet, nodes):
+            limited, *others = nodes
+            limited.target.rate_limit = str(LIMIT)
+            assert_that(await send_evenly(nodes, 60, 0.5), Equals([200] * 30))
+            limited.target.runs.clear()
+            await limited.kill()
+            # Health answers need not name the limit.
+            limited.target.rate_limit = ""
+            restarted = await fleet.restart(limited)
+            await wait_for(lambda: restarted.sidecar.gate.is_open)
+            await wait_for(lambda: fleet.are_all_connected([restarted, *others]))
+            limited.target.rate_limit = str(LIMIT)
+            statuses = await send_evenly([restarted, *others], 100, 2.0)
+            return limited.target.runs.total(), set(statuses)
+
+    runs, statuses = run_async(work)
+    assert_that(runs, LessThan(allow(2.0)))
+    assert_that(statuses, Equals({200}))
+
+
+def test_target_that_says_it_is_leaving_gets_nothing_more():
+    """A target whose answers say that it leaves kept its traffic until it was gone."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, nodes):
+            leaving, other = nodes
+            leaving.target.is_leaving = True
+            while not leaving.target.runs:
+                await leaving.request("/read/x")
+            before = leaving.target.runs.total()
+            statuses = await send_evenly(nodes, 50, 1.0)
+            return leaving.target.runs.total() - before, set(statuses)
+
+    assert_that(run_async(work), Equals((0, {200})))
+
+
+def test_leave_read_from_an_answer_survives_a_restart_without_the_store():
+    """A gate that restarted opened again for a target that had said it is leaving."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (fleet, nodes):
+            leaving, other = nodes
+            leaving.target.is_leaving = True
+            while not leaving.target.runs:
+                await leaving.request("/read/x")
+            leaving.target.is_leaving = False
+            before = leaving.target.runs.total()
+            fleet.store.fault = "busy"
+            await leaving.kill()
+            restarted = await fleet.restart(leaving)
+            await wait_for(lambda: restarted.sidecar.announcements.state.name)
+            await restarted.announce()
+            await asyncio.sleep(0.5)
+            statuses = await send_evenly([restarted, other], 50, 0.5)
+            return leaving.target.runs.total() - before, set(statuses)
+
+    assert_that(run_async(work), Equals((0, {200})))
