Gates start no more requests than the limit that their target names

What callers saw: nothing. Cause: the gate's limits came from the configuration, from heartbeats and from health answers only; what the target says in its other answers was forwarded and never read. Not lost by order or restart, then, and not evaded: a single gate alone starts 200 requests in 2 s, test_target_gets_no_more_than_the_limit_it_names. Change: a token bucket at the gate, the only way to the target, beside that of cold targets. The limit is part of the target's state, so other nodes choose by it and return it to a gate that has restarted. A first node without a recent report assumes that the starts of a limited target are taken; the target's own node knows what is left.

--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -77,7 +77,10 @@
         """Return the state of the target that other nodes see."""
         now = read_monotonic()
         is_cold = self.gate.cold.is_cold(now)
-        return TargetState(is_open=self.gate.is_open, is_cold=is_cold)
+        rate_limit = self.gate.notices.rate_limit.rate or 0.0
+        return TargetState(
+            is_open=self.gate.is_open, is_cold=is_cold, rate_limit=rate_limit
+        )
 
 
 @attrs.define(eq=False)
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -73,15 +73,21 @@
         self.publish_state()
 
     def refresh(self) -> None:
-        """Publish whether the gate is open and the target is cold, if that changed."""
-        is_open = self.gate.is_open
-        is_cold = self.gate.cold.is_cold(read_monotonic())
-        if (is_open, is_cold) != (self.state.is_open, self.state.is_cold):
-            self.set_state(is_open=is_open, is_cold=is_cold)
+        """Publish what other nodes need to know of the gate, if that changed."""
+        changes = {
+            "is_open": self.gate.is_open,
+            "is_cold": self.gate.cold.is_cold(read_monotonic()),
+            "rate_limit": self.gate.notices.rate_limit.rate or 0.0,
+        }
+        if any(getattr(self.state, name) != value for name, value in changes.items()):
+            self.set_state(**changes)
 
     def restore_state(self, state: TargetState) -> None:
         """Restore the state from before this node restarted, unless one is known."""
-        if self.state.name or not state.name:
+        if not state.name:
+            return
+        if self.state.name:
+            self._merge_state(state)
             return
         leave_acknowledged = state.leave_acknowledged or self._is_leave_known(
             state.name, state.start_time
@@ -93,6 +99,7 @@
             start_time=state.start_time,
             leave_acknowledged=leave_acknowledged,
         )
+        self._restore_rate_limit(state.rate_limit)
         self.gate.queue.limit = max(1, state.slots)
         self.gate.version = state.version
         self.gate.instance = state.name
@@ -100,6 +107,19 @@
         log_line("target-remembered", instance=state.name, left=leave_acknowledged)
         self._check_requested.set()
 
+    def _merge_state(self, state: TargetState) -> None:
+        """Add what another node remembers of the present process of the target.
+
+        Neither the row in the store nor a heartbeat names the limit.
+        """
+        identity = (self.state.name, self.state.start_time)
+        if (state.name, state.start_time) == identity:
+            self._restore_rate_limit(state.rate_limit)
+
+    def _restore_rate_limit(self, rate: float) -> None:
+        self.gate.notices.rate_limit.restore(rate, read_monotonic())
+        self.refresh()
+
     # Announcements.
 
     async def serve(self, request: Request) -> Response:
@@ -173,6 +193,8 @@
             self.send_strikes(self.crash_tracker.record_crash(now))
         gate = self.gate
         gate.cold.suspect_restart(now)
+        if restarted:
+            gate.notices.rate_limit.reset(now)
         gate.instance = announcement.name
         gate.version = announcement.version
         gate.queue.limit = announcement.slots
--- a/cactusshed/mesh/candidates.py
+++ b/cactusshed/mesh/candidates.py
@@ -57,8 +57,16 @@
         load = gate.get_load()
         now = read_monotonic()
         busy = load.running + load.waiting
-        self._local_view.report(busy, load.limit, load.mean_service_ms / 1000, now)
-        return Candidate(self.node, self._local_view, False, gate.cold.is_cold(now))
+        self._local_view.report(
+            busy, load.limit, load.mean_service_ms / 1000, now, load.starts_left
+        )
+        return Candidate(
+            self.node,
+            self._local_view,
+            False,
+            gate.cold.is_cold(now),
+            start_rate=gate.notices.rate_limit.rate or 0.0,
+        )
 
     def _make_remote(self, member: Member, body_bytes: int) -> Candidate:
         is_far = member.data_centre != self.data_centre
@@ -70,4 +78,5 @@
             member.state.is_cold,
             estimate_transfer_seconds(body_bytes, link_mbps),
             body_bytes,
+            member.state.rate_limit,
         )
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -189,7 +189,9 @@
         if result.load is not EMPTY_LOAD:
             load = result.load
             busy = load.running + load.waiting
-            view.report(busy, load.limit, load.mean_service_ms / 1000, now)
+            view.report(
+                busy, load.limit, load.mean_service_ms / 1000, now, load.starts_left
+            )
         self._update_statistics(call, view, result, now - started)
         return result
 
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -53,6 +53,8 @@
     is_cold: bool = False
     leave_acknowledged: bool = False
     """Whether the target has announced its leave and got an acknowledgement."""
+    rate_limit: float = 0.0
+    """Requests per second that the target takes from all nodes; 0 for no limit."""
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -79,6 +81,9 @@
     waiting: int
     limit: int
     mean_service_ms: float
+    starts_left: int = 0
+    """Requests that may start now under the target's rate limit, less those that wait;
+    0 without such a limit."""
 
 
 class Call(msgspec.Struct, array_like=True, tag=2):
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -14,7 +14,7 @@
 from ..observe.lines import log_line
 from ..policy.admissionqueue import AdmissionQueue, Ticket, TicketState
 from ..policy.backpressure import RouteBackpressure
-from ..policy.coldstart import ColdStartGuard
+from ..policy.coldstart import ColdStartGuard, TokenBucket
 from ..policy.gateretries import GateRetryBudget
 from ..policy.quarantine import Quarantine
 from ..policy.startlimits import StartLimit, StartLimits
@@ -117,15 +117,19 @@
     def get_load(self) -> Load:
         """Return the load that is reported with every result.
 
-        The limit of a cold target is the number of requests that its start rate keeps
-        running at the mean service time, even if it has more slots.
+        The limit of a target that may start only so many requests per second is the
+        number that this rate keeps running at the mean service time, even if the
+        target has more slots.
         """
         queue = self.queue
         mean = queue.get_mean_seconds()
         limit = queue.limit
-        if self.cold.is_cold(read_monotonic()):
-            limit = max(1, min(limit, int(self.cold.bucket.rate * mean)))
-        return Load(queue.running, queue.waiting, limit, mean * 1000)
+        starts_left = 0
+        start_limit = self._get_overall_limit(read_monotonic())
+        if start_limit is not None:
+            limit = max(1, min(limit, int(start_limit.rate * mean)))
+            starts_left = start_limit.tokens - queue.waiting
+        return Load(queue.running, queue.waiting, limit, mean * 1000, starts_left)
 
     async def tick(self) -> None:
         """Adjust backpressure, expire and admit waiting calls until cancelled."""
@@ -149,12 +153,26 @@
         self._resolve_tickets(self.queue.admit(now, self._get_start_limits(now)))
 
     def _get_start_limits(self, now: float) -> StartLimits:
-        """Return the start limits of a cold target and of throttled routes."""
-        cold_limit = None
+        """Return the start limits of the target and of throttled routes."""
+        return StartLimits(
+            self._get_overall_limit(now), self.backpressure.list_start_limits(now)
+        )
+
+    def _get_overall_limit(self, now: float) -> StartLimit | None:
+        """Return the start limit of a target that is cold or has named a limit."""
+        buckets = list(self._list_start_buckets(now))
+        if not buckets:
+            return None
+        return StartLimit(
+            min(bucket.rate for bucket in buckets),
+            min(bucket.count(now) for bucket in buckets),
+        )
+
+    def _list_start_buckets(self, now: float) -> Iterator[TokenBucket]:
         if self.cold.is_cold(now):
-            bucket = self.cold.bucket
-            cold_limit = StartLimit(bucket.rate, bucket.count(now))
-        return StartLimits(cold_limit, self.backpressure.list_start_limits(now))
+            yield self.cold.bucket
+        if self.notices.rate_limit.rate is not None:
+            yield self.notices.rate_limit.bucket
 
     def _resolve_tickets(self, tickets: Iterable[Ticket]) -> None:
         for ticket in tickets:
@@ -167,8 +185,8 @@
     def _count_start(self, ticket: Ticket) -> None:
         now = read_monotonic()
         self.counters.add("gate_started")
-        if self.cold.is_cold(now):
-            self.cold.bucket.take(now)
+        for bucket in self._list_start_buckets(now):
+            bucket.take(now)
         self.backpressure.note_start(ticket.route, now)
 
     async def run(self, call: Call) -> Result:
--- a/cactusshed/policy/placement.py
+++ b/cactusshed/policy/placement.py
@@ -4,6 +4,8 @@
 is as old as the target's last answer. The calls that this node has sent since
 then are added to the report, so that a burst from one node is not sent to a
 single target. Links are slow, so a large body counts with the time that it takes.
+A target in need takes few requests per second, and what is left of them is known to
+its own node only.
 """
 
 import random
@@ -43,14 +45,24 @@
     """Calls in flight from this node."""
     sent_since_report: int = 0
     """Calls that this node has sent since the last report."""
+    starts_left: int = 0
+    """Calls that the target could start under its rate limit at the last report."""
     failure_rate: float = 0.0
     """Moving average of the share of calls that failed."""
 
-    def report(self, busy: int, limit: int, mean_seconds: float, now: float) -> None:
+    def report(
+        self,
+        busy: int,
+        limit: int,
+        mean_seconds: float,
+        now: float,
+        starts_left: int = 0,
+    ) -> None:
         """Store a load report that came with an answer."""
         self.busy = busy
         self.limit = max(1, limit)
         self.mean_seconds = mean_seconds
+        self.starts_left = starts_left
         self.reported_at = now
         self.sent_since_report = 0
 
@@ -66,6 +78,18 @@
         excess = busy + 1 - self.limit
         return max(0, excess) * (self.mean_seconds or baseline_latency) / self.limit
 
+    def estimate_start_wait(self, now: float, start_rate: float) -> float:
+        """Return the seconds until a target of limited `start_rate` would start a call.
+
+        Without a recent report, other nodes are assumed to have taken all starts.
+        """
+        age = now - self.reported_at
+        starts_left = 0.0
+        if age < MAX_REPORT_AGE_SECONDS:
+            gained = min(1.0, age * start_rate)
+            starts_left = self.starts_left + gained - self.sent_since_report
+        return max(0.0, 1.0 - starts_left) / start_rate
+
 
 FAR_RISK = 0.05
 """Risk added for a target in another data centre: the traffic of a small request costs
@@ -103,6 +127,8 @@
     transfer_seconds: float = 0.0
     """Time for which the body of the request occupies the links to the target."""
     body_bytes: int = 0
+    start_rate: float = 0.0
+    """Requests per second that the target takes from all nodes; 0 for no limit."""
 
 
 def estimate_late_probability(time_left: float, service_time: float) -> float:
@@ -137,6 +163,8 @@
             view.mean_seconds / average_latency if view.mean_seconds else 1.0
         )
         wait = view.estimate_wait(now, service_time)
+        if candidate.start_rate:
+            wait = max(wait, view.estimate_start_wait(now, candidate.start_rate))
         delay = wait + candidate.transfer_seconds
         risk = estimate_late_probability(time_left - delay, service_time)
         risk = 1 - (1 - risk) * (1 - view.failure_rate)
--- a/cactusshed/policy/ratelimit.py
+++ b/cactusshed/policy/ratelimit.py
@@ -29,6 +29,8 @@
     _named_at: float = float("-inf")
     _valid_from: float = float("-inf")
     """Time from which requests were sent to the present process of the target."""
+    _is_answered: bool = False
+    """Whether an answer of the target was read, so that its limit is known."""
 
     def note_answer(self, rate: float | None, sent_at: float, now: float) -> bool:
         """Record the limit in the answer to a request sent at `sent_at`.
@@ -37,6 +39,7 @@
         """
         if sent_at < self._valid_from:
             return False
+        self._is_answered = True
         if rate is not None:
             return self.set_rate(rate, now)
         if self.rate is None or sent_at <= self._named_at:
@@ -58,7 +61,16 @@
         self.bucket.burst = max(1.0, self.rate * BURST_SECONDS)
         return True
 
+    def restore(self, rate: float, now: float) -> None:
+        """Take over the lowest limit that other nodes remember until the first answer.
+
+        They may have missed its end, but a limit that is missed harms the target.
+        """
+        if rate and not self._is_answered:
+            self.set_rate(min(rate, self.rate or rate), now)
+
     def reset(self, now: float) -> None:
         """Forget the limit, because another process of the target has taken over."""
         self.rate = None
+        self._is_answered = True
         self._valid_from = now
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,6 +1,7 @@
 """Tests of limits and leaves that targets state in the headers of their answers."""
 
 import asyncio
+import random
 from contextlib import asynccontextmanager
 
 import pytest
@@ -9,6 +10,8 @@
 
 from cactusshed.clock import read_monotonic
 from cactusshed.platform.headers import read_rate_limit
+from cactusshed.policy.placement import Candidate, LoadView, order_candidates
+from cactusshed.policy.ratelimit import NamedRateLimit
 from standins.meshfleet import MeshFleet, make_document, wait_for
 
 from .meshes import make_call, open_gate, run_async
@@ -175,3 +178,54 @@
             return leaving.target.runs.total() - before, set(statuses)
 
     assert_that(run_async(work), Equals((0, {200})))
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_remembered_limit_holds_until_the_first_answer(is_answered):
+    """Nodes that were cut off remember a limit whose end they have missed."""
+    limit = NamedRateLimit()
+    if is_answered:
+        limit.note_answer(None, 1.0, 1.1)
+    limit.restore(LIMIT, 2.0)
+    limit.restore(2 * LIMIT, 2.0)
+    assert_that(limit.rate, Equals(None if is_answered else LIMIT))
+    limit.note_answer(None, 3.0, 3.1)
+    assert_that(limit.rate, Equals(None))
+
+
+def test_limit_ends_with_the_process_that_named_it():
+    """A late answer of the process before must not limit its successor."""
+    limit = NamedRateLimit()
+    limit.note_answer(LIMIT, 1.0, 1.1)
+    limit.reset(2.0)
+    limit.note_answer(LIMIT, 1.5, 2.1)
+    assert_that(limit.rate, Equals(None))
+
+
+@pytest.mark.parametrize("rate", [0.0, 1.0, 3.5, 53.1])
+def test_starts_stay_within_the_limit_in_any_window(rate):
+    """Requests that start as soon as they may stay within the bound in any 4 s."""
+    limit = NamedRateLimit()
+    limit.note_answer(rate, 0.0, 0.0)
+    starts = []
+    for step in range(2000):
+        now = step / 100
+        while limit.bucket.count(now) > 0:
+            limit.bucket.take(now)
+            starts.append(now)
+    for start in starts:
+        in_window = sum(start <= other < start + 4.0 for other in starts)
+        assert_that(in_window, LessThan(1.5 * rate * 4.0 + 5))
+
+
+def test_first_nodes_leave_a_limited_target_to_its_own_clients():
+    """With one start a second, other nodes don't know whether it has been taken."""
+    now = 100.0
+    limited = Candidate("a", LoadView(mean_seconds=0.1), False, False, start_rate=1.0)
+    other = Candidate("b", LoadView(mean_seconds=0.1), False, False)
+    limited.view.report(0, 8, 0.1, now - 2.0, starts_left=1)
+    order = order_candidates([limited, other], 0.1, 0.5, now, random.Random(1))
+    assert_that([name.name for _, name in order], Equals(["b", "a"]))
+    assert_that(order[1][0], Equals(1.0))
+    limited.view.report(0, 8, 0.1, now, starts_left=1)
+    assert_that(limited.view.estimate_start_wait(now, 1.0), Equals(0.0))
