A target whose answers say that it is leaving gets nothing more

Besides, a leave that other nodes remembered was dropped if a heartbeat reached a restarted node before their greetings. Change: the answer closes the gate, as an announcement does; it is recorded without waiting, sent to the other nodes and merged into the state of a node that has restarted. A later announcement is still recorded before it is acknowledged. Answers to requests sent to an earlier process of the target are ignored.

--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -58,7 +58,10 @@
     """Start times of the targets whose leave was acknowledged, by name; 0 if the leave
     contained none. A leave may arrive before this node knows the target."""
     _check_requested: asyncio.Event = attrs.Factory(asyncio.Event)
-    _says_leaving: bool = False
+    _adopted_at: float = float("-inf")
+    """Time at which the target was found to be another process than before."""
+    _is_leave_recorded: bool = False
+    """Whether the leave was recorded before its announcement was acknowledged."""
 
     # State.
 
@@ -113,8 +116,11 @@
         Neither the row in the store nor a heartbeat names the limit.
         """
         identity = (self.state.name, self.state.start_time)
-        if (state.name, state.start_time) == identity:
-            self._restore_rate_limit(state.rate_limit)
+        if (state.name, state.start_time) != identity:
+            return
+        self._restore_rate_limit(state.rate_limit)
+        if state.leave_acknowledged:
+            self._close_for_leave("remembered")
 
     def _restore_rate_limit(self, rate: float) -> None:
         self.gate.notices.rate_limit.restore(rate, read_monotonic())
@@ -156,8 +162,8 @@
         if is_new:
             self._adopt_target(announcement)
         self._update_cold(announcement.cold_seconds)
-        if announcement.is_leaving and not self.state.leave_acknowledged:
-            await self._close_permanently("announced")
+        if announcement.is_leaving:
+            await self._record_leave("announced")
         self.refresh()
         return make_response(200, b"{}")
 
@@ -180,6 +186,7 @@
             announcement.name, announcement.start_time
         )
         restarted = bool(self.state.name)
+        self._is_leave_recorded = False
         log_line(
             "target-found",
             instance=announcement.name,
@@ -195,6 +202,7 @@
         gate.cold.suspect_restart(now)
         if restarted:
             gate.notices.rate_limit.reset(now)
+            self._adopted_at = now
         gate.instance = announcement.name
         gate.version = announcement.version
         gate.queue.limit = announcement.slots
@@ -236,14 +244,15 @@
             self.counters.add("announcements_old")
             log_line("leave-of-another", instance=name, known=self.state.name)
             return make_response(200, b"{}")
-        if not self.state.leave_acknowledged:
-            await self._close_permanently("left")
+        await self._record_leave("left")
         return make_response(200, b"{}")
 
-    async def _close_permanently(self, cause: str) -> None:
+    async def _record_leave(self, cause: str) -> None:
         """Close the gate and record the leave, before it is acknowledged."""
-        self.gate.set_close_reason("target-left", True)
-        self.set_state(leave_acknowledged=True, is_open=False)
+        if self._is_leave_recorded:
+            return
+        self._is_leave_recorded = True
+        self._close_for_leave(cause)
         started = read_monotonic()
         try:
             async with asyncio.timeout(PERSIST_TIMEOUT_SECONDS):
@@ -252,18 +261,31 @@
         except TimeoutError:
             persisted = False
         log_line(
-            "target-left",
+            "leave-recorded",
             instance=self.state.name,
-            cause=cause,
             recorded=persisted,
             after_ms=int((read_monotonic() - started) * 1000),
         )
 
     def note_leaving(self, sent_at: float) -> None:
-        """Note that the answer to a request sent at `sent_at` announced the leave."""
-        if not self._says_leaving:
-            log_line("target-says-leaving", instance=self.state.name)
-        self._says_leaving = True
+        """Close the gate: the answer to a request sent at `sent_at` says so.
+
+        The target may announce its leave later than in its answers, or never.
+        """
+        if self.state.name and sent_at >= self._adopted_at:
+            self._close_for_leave("said-in-answer")
+
+    def _close_for_leave(self, cause: str) -> None:
+        """Close the gate for this process of the target for good."""
+        if self.state.leave_acknowledged:
+            return
+        name, start_time = self.state.name, self.state.start_time
+        if not self._is_leave_known(name, start_time):
+            self._left_targets[name] = start_time
+        self.gate.set_close_reason("target-left", True)
+        self.set_state(leave_acknowledged=True, is_open=False)
+        self.schedule_persist()
+        log_line("target-left", instance=name, cause=cause)
 
     # Health checks.
 
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -52,7 +52,8 @@
     """Whether new calls are accepted."""
     is_cold: bool = False
     leave_acknowledged: bool = False
-    """Whether the target has announced its leave and got an acknowledgement."""
+    """Whether the target has announced its leave, and got an acknowledgement, or states
+    in its answers that it is leaving."""
     rate_limit: float = 0.0
     """Requests per second that the target takes from all nodes; 0 for no limit."""
 
--- a/cactusshed/tool/history.py
+++ b/cactusshed/tool/history.py
@@ -29,6 +29,7 @@
         "target-down",
         "target-found",
         "target-left",
+        "target-rate-limit",
         "target-warm",
     }
 )
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -32,6 +32,16 @@
         await fleet.close()
 
 
+async def read_leave(node):
+    """Let the node read the leave of its target from an answer.
+
+    That is the answer to a request or, if a check is due, to a health request.
+    """
+    node.target.is_leaving = True
+    while node.sidecar.gate.is_open and not node.target.runs:
+        await asyncio.gather(*(node.request("/read/x") for _ in range(12)))
+
+
 async def send_evenly(nodes, per_second, seconds):
     """Send requests to all nodes in turn and return the statuses."""
     requests = []
@@ -147,9 +157,7 @@
     async def work():
         async with open_fleet("n1", "n2") as (_, nodes):
             leaving, other = nodes
-            leaving.target.is_leaving = True
-            while not leaving.target.runs:
-                await leaving.request("/read/x")
+            await read_leave(leaving)
             before = leaving.target.runs.total()
             statuses = await send_evenly(nodes, 50, 1.0)
             return leaving.target.runs.total() - before, set(statuses)
@@ -163,9 +171,7 @@
     async def work():
         async with open_fleet("n1", "n2") as (fleet, nodes):
             leaving, other = nodes
-            leaving.target.is_leaving = True
-            while not leaving.target.runs:
-                await leaving.request("/read/x")
+            await read_leave(leaving)
             leaving.target.is_leaving = False
             before = leaving.target.runs.total()
             fleet.store.fault = "busy"
