An answer without the id of its request is not taken as its answer

Cause: the readers of answers dropped an answer with another request's id, but took one without any id for the answer to the request that was waiting. Targets echo the id in all answers, so such bytes are a copy of an earlier one. A health request has no id to compare; a refusal that names no instance closed the gate as that of an unknown target. And the first bytes of a further answer right behind the awaited one did not end the connection. Change: only an answer with the request's id ends its wait, only one that names an instance answers a health request, and a connection on which anything follows is closed. Evidence: test_copy_of_an_earlier_refusal_is_not_the_answer (twice) and test_copy_of_an_earlier_refusal_is_not_a_health_answer fail on the commit before and pass.

--- a/cactusshed/mesh/targetclient.py
+++ b/cactusshed/mesh/targetclient.py
@@ -10,7 +10,8 @@
 from .pool import ConnectionPool
 from .upstream import HOP_BY_HOP_HEADERS, Answer, Headers, NotSent, Upstream
 
-__all__ = ["exchange_call", "filter_headers", "request_health"]
+__all__ = ["NotHealth", "exchange_call", "filter_headers", "request_health"]
+
 
 MAX_CONNECTIONS_TRIED = 3
 """Connections tried for one call; a reused one may turn out to be closed."""
@@ -20,6 +21,12 @@
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {header_names.ATTEMPT_ID, header_names.LOAD}
 
 
+class NotHealth(CactusError):
+    """The answer to a health request does not name the target that sent it."""
+
+    code = "not-health"
+
+
 async def exchange_call(
     pool: ConnectionPool, call: Call, deadline: float, instance: str
 ) -> tuple[Upstream, Answer]:
@@ -55,6 +62,10 @@
             answer = await upstream.exchange(data)
     except TimeoutError as error:
         raise CactusError("timed out", step="ask health") from error
+    if answer.find(header_names.INSTANCE) is None:
+        # A copy of an answer to another request, or a refusal of this one.
+        upstream.abort()
+        raise NotHealth("no instance named", step="ask health")
     pool.release(upstream)
     return answer
 
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -161,6 +161,9 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new answer."""
+        if self._waiter is None or self._waiter.done():
+            # Its end would be taken for the start of the next answer.
+            self._must_close = True
         self._headers = []
         self._chunks = []
         self._has_head = False
@@ -206,8 +209,8 @@
         status = self._parser.get_status_code()
         answer = Answer(status, self._headers, b"".join(self._chunks))
         if self._identity:
-            echoed = answer.find(self._identity)
-            if echoed is not None and echoed != self._expected:
+            echoed = answer.find(self._identity) or b""
+            if echoed != self._expected:
                 # A late answer to an earlier request; the expected one follows. The
                 # answer to a health request, which has no id, names none.
                 self._must_close = True
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -24,11 +24,13 @@
     Paths without an action are answered with 200 after `work_seconds`. Actions:
     `reset` (run the request, then reset the connection), `truncate` (close in the
     middle of the body), `unsealed` (omit the seal header), `extra` (send a second
-    answer), `foreign` (first send an answer for another attempt), `shed` (refuse
-    with 503 without running), `fail` (answer 500), `hang` (do not answer for an
-    hour), `unframed` (omit the content length), `unframed-reset` (also reset the
-    connection in the middle), `mute` (answer neither this request,
-    which is not run, nor any later one of the connection), and those of `endless`.
+    answer), `foreign` (first send an answer for another attempt), `stale` (first send
+    a refusal without an id, as if of an earlier request), `stale-early` (send it when
+    the request arrives), `shed` (refuse with 503 without running), `fail` (answer
+    500), `hang` (do not answer for an hour), `unframed` (omit the content length),
+    `unframed-reset` (also reset the connection in the middle), `mute` (answer neither
+    this request, which is not run, nor any later one of the connection), and those of
+    `endless`.
     """
 
     instance: str = "i-1"
@@ -97,6 +99,8 @@
             self.muted += 1
             await reader.read()
             return False
+        if action == "stale-early":
+            self._write_stale_refusal(writer)
         self.runs[headers.get(b"x-attempt-id", b"").decode()] += 1
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
@@ -160,12 +164,17 @@
         if action == "foreign":
             other_headers = {**headers, b"x-attempt-id": b"another"}
             self._write(writer, 200, other_headers, b"foreign")
+        if action == "stale":
+            self._write_stale_refusal(writer)
         status = 500 if action == "fail" else 200
         self._write(writer, status, headers, b"done", sealed=action != "unsealed")
         if action == "extra":
             self._write(writer, status, headers, b"again")
         return True
 
+    def _write_stale_refusal(self, writer) -> None:
+        self._write(writer, 503, {}, b"", sealed=False, refused=True)
+
     def _write(
         self, writer, status, headers, body, *, sealed=True, health=False, refused=False
     ) -> None:
--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Contains, Equals, LessThan
 
 from cactusshed.clock import read_monotonic
+from cactusshed.errors import CactusError
 from cactusshed.mesh.crashes import make_fingerprint
 from cactusshed.mesh.frames import ANSWERED, NOT_RUN, UNKNOWN, OutcomeQuery
 from cactusshed.mesh.pool import ConnectionPool
@@ -82,6 +83,93 @@
     assert_that(run_async(work), Equals((b"done", b"done", 2)))
 
 
+@pytest.mark.parametrize("script", ["stale", "stale-early"])
+def test_copy_of_an_earlier_refusal_is_not_the_answer(script):
+    """A refusal without an id came on a kept connection before the answer.
+
+    The request was reported as not run, although the target was running it.
+    """
+
+    async def work():
+        async with open_gate(work_seconds=0.05) as opened:
+            await opened.gate.run(make_call("r1"))
+            opened.target.script["/a/"] = script
+            result = await opened.gate.run(make_call("r2", is_idempotent=False))
+            return result.outcome, result.body, opened.target.runs["r2"]
+
+    assert_that(run_async(work), Equals((ANSWERED, b"done", 1)))
+
+
+def test_copy_of_an_earlier_refusal_is_not_a_health_answer():
+    """A refusal that names no instance closed the gate for an unknown target."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 503 X\r\ncontent-length: 0\r\nx-not-executed: 1\r\n\r\n"
+        )
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        pool = ConnectionPool(
+            Address(*server.sockets[0].getsockname()), header_names.ATTEMPT_ID
+        )
+        try:
+            await request_health(pool, "/healthz")
+        except CactusError as error:
+            return error.code
+        finally:
+            server.close()
+
+    assert_that(run_async(work), Equals("not-health"))
+
+
+ANSWER_HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\n"
+    b"content-length: 4\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\n"
+    b"transfer-encoding: chunked\r\n\r\n",
+    "close": b"HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\n\r\n",
+    "empty": b"HTTP/1.1 204 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\n\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-seal: s\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+@pytest.mark.parametrize("framing", ANSWER_HEADS)
+def test_answer_cut_anywhere_in_its_head_is_not_complete(framing, method):
+    """A target stopped in the middle of its answer's head and closed.
+
+    Callers must not get an empty or short body as a whole one.
+    """
+    head = ANSWER_HEADS[framing]
+    cuts = iter(range(len(head)))
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head[: next(cuts)])
+        writer.close()
+
+    async def work():
+        async with open_gate() as opened:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            opened.gate.exchange.pool = ConnectionPool(
+                Address(*server.sockets[0].getsockname()), header_names.ATTEMPT_ID
+            )
+            call = make_call("r1", method=method, is_idempotent=False)
+            codes = set()
+            for attempt in range(len(head)):
+                call.attempt = attempt
+                opened.gate.cold.set_cold_time(0.0, 0.0)
+                result = await opened.gate.run(call)
+                codes.add((result.outcome, result.code))
+            server.close()
+            return codes
+
+    assert_that(run_async(work), Equals({(UNKNOWN, "answer-missing")}))
+
+
 def test_extra_answer_reaches_no_caller():
     """Bytes received while no request is pending close the connection."""
 
