A stopping node refuses requests that it can not answer before its end

Change: the drain tells the handler by when answers must be out; a request whose deadline is later gets its 503 at once and is not passed on. Calls of requests that run are served.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -67,6 +67,9 @@
     rng: random.Random = attrs.Factory(random.Random)
     is_closing: bool = False
     """Whether only calls made by requests running here are still accepted."""
+    answer_by: float = float("inf")
+    """Monotonic time of the last answers of a node that stops; a request whose deadline
+    is later is refused, since its answer might be cut off."""
     longest_timeout: dict[str, float] = attrs.Factory(dict)
     """Longest timeout that clients have sent, in seconds by route."""
 
@@ -95,7 +98,8 @@
             self.counters.add("refused_no_id")
             return make_response(400)
         plan = self._make_plan(request, route)
-        if self.is_closing and not plan.call.is_nested:
+        is_accepted = not self.is_closing and plan.deadline <= self.answer_by
+        if not is_accepted and not plan.call.is_nested:
             self.counters.add("refused_leaving")
             return self._refuse(LEAVING_RETRY_SECONDS)
         outcome = await self._run(plan)
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -25,8 +25,8 @@
 """Time for the process to exit; part of the same margin. Covers a scheduling period
 of a slow host and the closing of the connections."""
 ACCEPT_SECONDS = 2.9
-"""Time after which new requests are refused, so that earlier ones can end within the
-grace period."""
+"""Time after which all new requests are refused. Before, those are refused whose
+deadline lies beyond the grace period."""
 POLL_SECONDS = 0.02
 """Interval between checks for running requests: far below a client's timeout."""
 
@@ -43,7 +43,7 @@
     """
     started = read_monotonic()
     listener.is_closing = True
-    end = started + grace - STOP_MARGIN_SECONDS
+    end = caller_handler.answer_by = started + grace - STOP_MARGIN_SECONDS
     while read_monotonic() < end:
         spent = read_monotonic() - started
         caller_handler.is_closing = spent >= ACCEPT_SECONDS
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,7 +10,7 @@
 
 from cactusshed.mesh import storesync
 from cactusshed.mesh.gate import Gate
-from cactusshed.mesh.upstream import UpstreamFailed
+from cactusshed.mesh.upstream import NotSent, UpstreamFailed
 from standins.meshfleet import (
     MeshFleet,
     make_document,
@@ -532,3 +532,44 @@
             return True
 
     assert_that(run_async(work), Equals(True))
+
+
+def test_request_late_in_a_planned_stop_is_answered_or_refused():
+    """A stopping node took requests that its target could not finish in its grace.
+
+    They were passed on and cut without an answer at its end, among them requests that
+    may not be repeated.
+    """
+    grace = 3.6
+
+    async def work():
+        async with open_fleet("n1") as (_, (node,)):
+            bounds = attrs.evolve(node.settings.bounds, grace=grace)
+            node.sidecar.settings = attrs.evolve(node.settings, bounds=bounds)
+            node.sidecar.gate.queue.limit = 40
+            node.target.work_seconds = 0.9
+            endings = []
+
+            async def send(path, method):
+                try:
+                    answer = await node.request(path, method)
+                except UpstreamFailed:
+                    endings.append("cut")
+                except NotSent:
+                    endings.append("refused")
+                else:
+                    endings.append("refused" if answer.status == 503 else answer.status)
+
+            node.stop.set()
+            senders = []
+            while not node.task.done():
+                senders.append(asyncio.create_task(send("/read/x", b"GET")))
+                senders.append(asyncio.create_task(send("/write/x", b"POST")))
+                await asyncio.sleep(0.1)
+            # The process would end now.
+            endings.extend("cut" for sender in senders[:-2] if not sender.done())
+            return endings
+
+    endings = run_async(work)
+    assert_that(set(endings), Equals({200, "refused"}))
+    assert_that(endings.count(200), GreaterThan(3))
