--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -1,4 +1,4 @@
-"""Announcements and health checks of the local target, applied to its gate."""
+"""Announcements of the local target, applied to its gate."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -7,10 +7,9 @@
 import msgspec
 
 from ..clock import read_monotonic
-from ..errors import CactusError, Malformed
+from ..errors import Malformed
 from ..observe.counters import Counters
 from ..observe.lines import log_line
-from ..platform import headers as header_names
 from ..platform.announcements import (
     HEARTBEAT,
     LEAVE,
@@ -23,14 +22,11 @@
 from .frames import Strike, TargetState
 from .gate import Gate
 from .messages import Request, Response, make_response
-from .records import Records
-from .targetclient import request_health
 
 __all__ = ["Announcements"]
 
-HEALTH_CHECK_INTERVAL_SECONDS = 0.1
-"""Interval of health requests to a target that is suspected of a restart, and of
-checks whether the gate's state changed."""
+REFRESH_INTERVAL_SECONDS = 0.1
+"""Interval of checks whether the gate's state changed."""
 PERSIST_TIMEOUT_SECONDS = 0.7
 """Timeout for recording a leave; its acknowledgement is due within a second."""
 
@@ -40,7 +36,6 @@
     """State of the local target, as it announced it or as health checks found it."""
 
     gate: Gate
-    records: Records
     crash_tracker: CrashTracker
     counters: Counters
     persist: Callable[[], Awaitable[None]]
@@ -51,13 +46,14 @@
     """Sends the target's state to the other nodes."""
     send_strikes: Callable[[list[Strike]], None]
     """Sends strikes to the other nodes."""
+    request_check: Callable[[], None]
+    """Requests a health check of the target."""
     state: TargetState = attrs.Factory(TargetState)
     _last_number: int = -1
     """Number of the last accepted announcement."""
     _left_targets: dict[str, int] = attrs.Factory(dict)
     """Start times of the targets whose leave was acknowledged, by name; 0 if the leave
     contained none. A leave may arrive before this node knows the target."""
-    _check_requested: asyncio.Event = attrs.Factory(asyncio.Event)
     _adopted_at: float = float("-inf")
     """Time at which the target was found to be another process than before."""
     _is_leave_recorded: bool = False
@@ -108,7 +104,7 @@
         self.gate.instance = state.name
         self.gate.set_close_reason("target-left", leave_acknowledged)
         log_line("target-remembered", instance=state.name, left=leave_acknowledged)
-        self._check_requested.set()
+        self.request_check()
 
     def _merge_state(self, state: TargetState) -> None:
         """Add what another node remembers of the present process of the target.
@@ -161,7 +157,7 @@
         )
         if is_new:
             self._adopt_target(announcement)
-        self._update_cold(announcement.cold_seconds)
+        self.update_cold(announcement.cold_seconds)
         if announcement.is_leaving:
             await self._record_leave("announced")
         self.refresh()
@@ -197,7 +193,7 @@
             before=self.state.name,
         )
         if restarted:
-            self.send_strikes(self.crash_tracker.record_crash(now))
+            self.record_crash()
         gate = self.gate
         gate.cold.suspect_restart(now)
         if restarted:
@@ -221,7 +217,8 @@
             gate.set_close_reason("target-down", False)
         self.schedule_persist()
 
-    def _update_cold(self, seconds: float) -> None:
+    def update_cold(self, seconds: float) -> None:
+        """Record for how long the target says that it will be cold."""
         now = read_monotonic()
         was_cold = self.gate.cold.is_cold(now)
         self.gate.cold.set_cold_time(seconds, now)
@@ -287,59 +284,12 @@
         self.schedule_persist()
         log_line("target-left", instance=name, cause=cause)
 
-    # Health checks.
-
-    def suspect_restart(self) -> None:
-        """Schedule a health check because the target may have restarted."""
-        self._check_requested.set()
-        self.refresh()
-
-    async def run_health_checks(self) -> None:
-        """Check the target after each suspected restart until it answers."""
-        while True:
-            await self._check_requested.wait()
-            self._check_requested.clear()
-            while not await self._check_health():
-                await asyncio.sleep(HEALTH_CHECK_INTERVAL_SECONDS)
-            self.refresh()
-
-    async def _check_health(self) -> bool:
-        """Send one health request; return whether no further one is needed."""
-        service = self.records.table.services.get(self.gate.service)
-        if service is None:
-            return False
-        sent_at = read_monotonic()
-        try:
-            answer = await request_health(self.gate.pool, service.health_path)
-        except CactusError as error:
-            if error.code == "not-sent":
-                self._handle_unreachable(error)
-            return False
-        instance = (answer.find(header_names.INSTANCE) or b"").decode("latin-1")
-        if not self.state.name:
-            # The target has not announced itself yet: there is no name to compare.
-            return True
-        if instance != self.state.name:
-            self.send_strikes(self.crash_tracker.record_crash(read_monotonic()))
-            self.gate.set_close_reason("target-unknown", True)
-            log_line("target-replaced", known=self.state.name, found=instance)
-            return True
-        self.gate.notices.read_health(answer, sent_at)
-        cold_ms = answer.find(header_names.COLD_MS) or b"0"
-        seconds = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
-        self.gate.set_close_reason("target-down", False)
-        self.gate.set_close_reason("target-unknown", False)
-        self._update_cold(seconds)
-        return True
-
-    def _handle_unreachable(self, error: CactusError) -> None:
-        if self.gate.set_close_reason("target-down", True):
-            log_line("target-down", instance=self.state.name, cause=error.message)
+    def record_crash(self) -> None:
+        """Count the crash of the target against the requests that it was running."""
         self.send_strikes(self.crash_tracker.record_crash(read_monotonic()))
-        self.refresh()
 
     async def refresh_periodically(self) -> None:
         """Refresh the state periodically: a target becomes warm without an event."""
         while True:
-            await asyncio.sleep(HEALTH_CHECK_INTERVAL_SECONDS)
+            await asyncio.sleep(REFRESH_INTERVAL_SECONDS)
             self.refresh()
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -24,6 +24,7 @@
 from .dispatch import Dispatcher
 from .frames import Frame, Hello, StateUpdate, Strike, TargetState
 from .gate import Gate
+from .healthchecks import HealthChecks
 from .inbound import Inbound
 from .link import Link, serve_links
 from .listener import Listener
@@ -82,19 +83,20 @@
             tallies=TallyRecorder(),
             service=settings.service,
             count_gates=lambda: 1 + self.peers.count_gates(settings.service),
-            on_restart_suspected=lambda: self.announcements.suspect_restart(),
+            on_restart_suspected=lambda: self.health_checks.suspect_restart(),
             on_leaving=lambda sent_at: self.announcements.note_leaving(sent_at),
         )
         self.announcements = Announcements(
             self.gate,
-            self.records,
             self.crash_tracker,
             self.counters,
             self._persist_state,
             lambda: self.store_sync.request_write(),
             self._broadcast_state,
             self._broadcast_strikes,
+            lambda: self.health_checks.request(),
         )
+        self.health_checks = HealthChecks(self.gate, self.records, self.announcements)
         self.store_sync = StoreSync(
             settings.node,
             str(settings.peers),
@@ -284,7 +286,7 @@
             self.store_sync.keep_members,
             self.store_sync.keep_row,
             self.move_controller.run,
-            self.announcements.run_health_checks,
+            self.health_checks.run,
             self.announcements.refresh_periodically,
             self.gate.tick,
             self.peers.pending.sweep,
