A second response in the same segment ends the connection in serve/ too

What callers saw: on the product's own path, a target's answer with the status of a copy behind it, or with both bodies joined (503 with the body of a 200; 'hellohello'). Cause: the parser went on after the awaited response, and its callbacks wrote the further message into the same object. Change: a message that begins after the response ends the connection; the response stays as it was read. The mutation of the soak follows the new text of mesh/upstream.py. Evidence: three cases of test_second_response_in_the_same_segment_is_not_mixed_in fail before and pass. The link between nodes of serve/ requires the call's id already; the targets of the product echo none, so a late copy that arrives after the next request was sent can't be told there: listed in the postmortem.

--- a/cactusshed/serve/connection.py
+++ b/cactusshed/serve/connection.py
@@ -52,7 +52,12 @@
         self.parser = httptools.HttpResponseParser(self)
 
     def on_message_begin(self) -> None:
-        """Start a message; drop the headers of an interim response before it."""
+        """Start a message; drop the headers of an interim response before it.
+
+        A message after the response belongs to no request; it ends the connection.
+        """
+        if self.is_complete:
+            raise ValueError("second response to one request")
         self.headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -75,7 +75,7 @@
     Mutation(
         "an answer is matched to its request by the echoed attempt ID",
         "mesh/upstream.py",
-        "if echoed is not None and echoed != self._expected:",
+        "if echoed != self._expected:",
         "if False:",
         "own-answer",
         1,
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -95,3 +95,10 @@
     """A connection is not reused after a response with `connection: close`."""
     parts = [OK.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")]
     assert_that(send_request(parts)[1], Equals(False))
+
+
+@pytest.mark.parametrize("extra", [OK, OK[:20], b"HTTP/1.1 503 X\r\n\r\n"])
+def test_second_response_in_the_same_segment_is_not_mixed_in(extra):
+    """A copy of a response right behind it replaced its status and joined its body."""
+    reply, usable = send_request([OK + extra])
+    assert_that((reply.status, reply.body, usable), Equals((200, b"hello", False)))
