--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -21,6 +21,7 @@
 from .crashes import CrashTracker
 from .frames import Strike, TargetState
 from .gate import Gate
+from .leaves import KnownLeaves
 from .messages import Request, Response, make_response
 
 __all__ = ["Announcements"]
@@ -51,9 +52,7 @@
     state: TargetState = attrs.Factory(TargetState)
     _last_number: int = -1
     """Number of the last accepted announcement."""
-    _left_targets: dict[str, int] = attrs.Factory(dict)
-    """Start times of the targets whose leave was acknowledged, by name; 0 if the leave
-    contained none. A leave may arrive before this node knows the target."""
+    _leaves: KnownLeaves = attrs.Factory(KnownLeaves)
     _adopted_at: float = float("-inf")
     """Time at which the target was found to be another process than before."""
     _is_leave_recorded: bool = False
@@ -88,7 +87,7 @@
         if self.state.name:
             self._merge_state(state)
             return
-        leave_acknowledged = state.leave_acknowledged or self._is_leave_known(
+        leave_acknowledged = state.leave_acknowledged or self._leaves.has(
             state.name, state.start_time
         )
         self.set_state(
@@ -178,7 +177,7 @@
 
     def _adopt_target(self, announcement: Announcement) -> None:
         now = read_monotonic()
-        leave_acknowledged = self._is_leave_known(
+        leave_acknowledged = self._leaves.has(
             announcement.name, announcement.start_time
         )
         restarted = bool(self.state.name)
@@ -226,14 +225,9 @@
             log_line("target-cold" if seconds else "target-warm", seconds=seconds)
         self.gate.start_waiting()
 
-    def _is_leave_known(self, name: str, start_time: int) -> bool:
-        """Return whether the leave of a target process is known."""
-        left_start = self._left_targets.get(name)
-        return left_start is not None and (not left_start or start_time <= left_start)
-
     async def _handle_leave(self, name: str, start_time: int) -> Response:
         # A node that has just started may not know yet that this is its target.
-        self._left_targets[name] = start_time
+        self._leaves.add(name, start_time)
         if not self.state.name:
             self.set_state(name=name)
             self.gate.instance = name
@@ -277,8 +271,8 @@
         if self.state.leave_acknowledged:
             return
         name, start_time = self.state.name, self.state.start_time
-        if not self._is_leave_known(name, start_time):
-            self._left_targets[name] = start_time
+        if not self._leaves.has(name, start_time):
+            self._leaves.add(name, start_time)
         self.gate.set_close_reason("target-left", True)
         self.set_state(leave_acknowledged=True, is_open=False)
         self.schedule_persist()
