Health requests count against the limit that a target names

What callers saw: nothing; a target in need that refuses health requests got up to ten of them a second, whatever limit it had named. Cause: the limit was kept for requests only. A target takes a health request like any other one: it waits for a slot or is refused. Change: each health request that reached the target uses up a start, and the pause after one that failed is at least the mean time between two requests of the limit. Evidence: test_health_checks_keep_to_the_limit_of_the_target got 12 requests in 1.2 s at a limit of two a second on the code before, and passes.

--- a/cactusshed/mesh/healthchecks.py
+++ b/cactusshed/mesh/healthchecks.py
@@ -12,6 +12,7 @@
 from .gate import Gate
 from .records import Records
 from .targetclient import request_health
+from .upstream import Answer, NotSent
 
 __all__ = ["HealthChecks"]
 
@@ -42,41 +43,59 @@
         while True:
             await self._requested.wait()
             self._requested.clear()
-            while not await self._check():
-                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            while (pause := await self._check()) is not None:
+                await asyncio.sleep(pause)
             self.announcements.refresh()
 
-    async def _check(self) -> bool:
-        """Send one health request; return whether no further one is needed."""
+    async def _check(self) -> float | None:
+        """Send one health request.
+
+        Returns the pause before the next one in seconds, `None` if no further one is
+        needed.
+        """
         service = self.records.table.services.get(self.gate.service)
         if service is None:
-            return False
+            return CHECK_INTERVAL_SECONDS
         sent_at = read_monotonic()
         try:
             answer = await request_health(self.gate.pool, service.health_path)
-        except CactusError as error:
-            if error.code == "not-sent":
-                self._handle_unreachable(error)
-            return False
+        except NotSent as error:
+            self._handle_unreachable(error)
+            return CHECK_INTERVAL_SECONDS
+        except CactusError:
+            return max(CHECK_INTERVAL_SECONDS, self._count_request())
+        self._count_request()
+        self._read_answer(answer, sent_at)
+        return None
+
+    def _count_request(self) -> float:
+        """Count a health request against the limit that the target has named.
+
+        Returns the mean time between two requests that the limit allows, in seconds.
+        """
+        limit = self.gate.notices.rate_limit
+        limit.bucket.take(read_monotonic())
+        return limit.interval
+
+    def _read_answer(self, answer: Answer, sent_at: float) -> None:
         known = self.announcements.state.name
         if not known:
             # The target has not announced itself yet: there is no name to compare.
-            return True
+            return
         instance = (answer.find(header_names.INSTANCE) or b"").decode("latin-1")
         if instance != known:
             self.announcements.record_crash()
             self.gate.set_close_reason("target-unknown", True)
             log_line("target-replaced", known=known, found=instance)
-            return True
+            return
         self.gate.notices.read_health(answer, sent_at)
         cold_ms = answer.find(header_names.COLD_MS) or b"0"
         seconds = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
         self.gate.set_close_reason("target-down", False)
         self.gate.set_close_reason("target-unknown", False)
         self.announcements.update_cold(seconds)
-        return True
 
-    def _handle_unreachable(self, error: CactusError) -> None:
+    def _handle_unreachable(self, error: NotSent) -> None:
         if self.gate.set_close_reason("target-down", True):
             name = self.announcements.state.name
             log_line("target-down", instance=name, cause=error.message)
--- a/cactusshed/policy/ratelimit.py
+++ b/cactusshed/policy/ratelimit.py
@@ -34,6 +34,11 @@
     _is_answered: bool = False
     """Whether an answer of the target was read, so that its limit is known."""
 
+    @property
+    def interval(self) -> float:
+        """Return the mean time between two requests in seconds; 0 without a limit."""
+        return 1 / self.rate if self.rate else 0.0
+
     def note_answer(self, rate: float | None, sent_at: float, now: float) -> bool:
         """Record the limit in the answer to a request sent at `sent_at`.
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -14,7 +14,10 @@
 from cactusshed.mesh.callplan import CallPlan
 from cactusshed.mesh.dispatch import Dispatcher
 from cactusshed.mesh.frames import ANSWERED, NOT_RUN, Load, Result
+from cactusshed.mesh.healthchecks import HealthChecks
 from cactusshed.mesh.member import Member
+from cactusshed.mesh.notices import TargetNotices
+from cactusshed.mesh.pool import ConnectionPool
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address
 from cactusshed.platform.headers import read_rate_limit
@@ -194,6 +197,38 @@
     assert_that(run_async(work), Equals((0, {200})))
 
 
+def test_health_checks_keep_to_the_limit_of_the_target():
+    """A target in need that refused health requests got ten of them a second."""
+    received = []
+
+    async def refuse(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        received.append(read_monotonic())
+        writer.write(
+            b"HTTP/1.1 503 X\r\ncontent-length: 0\r\nx-not-executed: 1\r\n\r\n"
+        )
+
+    async def work():
+        server = await asyncio.start_server(refuse, "127.0.0.1", 0)
+        pool = ConnectionPool(Address(*server.sockets[0].getsockname()), b"")
+        notices = TargetNotices(lambda: "i-1", lambda _sent_at: None)
+        notices.rate_limit.note_answer(2.0, read_monotonic(), read_monotonic())
+        services = {"a": SimpleNamespace(health_path="/healthz")}
+        checks = HealthChecks(
+            SimpleNamespace(service="a", pool=pool, notices=notices),
+            SimpleNamespace(table=SimpleNamespace(services=services)),
+            SimpleNamespace(refresh=lambda: None),
+        )
+        checks.request()
+        running = asyncio.create_task(checks.run())
+        await asyncio.sleep(1.2)
+        running.cancel()
+        server.close()
+        return len(received)
+
+    assert_that(run_async(work), LessThan(4))
+
+
 @pytest.mark.parametrize("is_answered", [False, True])
 def test_remembered_limit_holds_until_the_first_answer(is_answered):
     """Nodes that were cut off remember a limit whose end they have missed."""
