A change of a target's slots applies while the target runs

What callers saw: nothing yet; a target that announced fewer slots would have kept its full traffic, and one that announced more would not have got any of it. Change: a heartbeat with another number of slots sets the gate's limit and the state that the other nodes see. Evidence: test_slots_that_change_while_a_target_runs_apply times out on the commit before and passes.

--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -156,6 +156,8 @@
         )
         if is_new:
             self._adopt_target(announcement)
+        elif announcement.slots != self.state.slots:
+            self._set_slots(announcement.slots)
         self.update_cold(announcement.cold_seconds)
         if announcement.is_leaving:
             await self._record_leave("announced")
@@ -216,6 +218,14 @@
             gate.set_close_reason("target-down", False)
         self.schedule_persist()
 
+    def _set_slots(self, slots: int) -> None:
+        """Apply a change of the target's slots while it runs."""
+        log_line("target-slots", instance=self.state.name, slots=slots)
+        self.gate.queue.limit = slots
+        self.set_state(slots=slots)
+        self.schedule_persist()
+        self.gate.start_waiting()
+
     def update_cold(self, seconds: float) -> None:
         """Record for how long the target says that it will be cold."""
         now = read_monotonic()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -246,6 +246,18 @@
     assert_that(run_async(work), Equals(200))
 
 
+def test_slots_that_change_while_a_target_runs_apply():
+    """Only the first heartbeat of a target set its slots; later ones were ignored."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, (node, other)):
+            await node.announce(slots=2)
+            await wait_for(lambda: other.sidecar.peers.members["n1"].state.slots == 2)
+            return node.sidecar.gate.queue.limit
+
+    assert_that(run_async(work), Equals(2))
+
+
 def test_late_heartbeat_of_an_earlier_run_changes_nothing():
     """An older start time or a lower sequence number must not change the state."""
 
