Tests close the connections that they open

Warnings of writers left open when the loop closes came from the relay of tests/test_links.py and from two stand-in servers; a crash of the report (SystemError of the interpreter's parser inside the warning) followed one of them.

--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -108,6 +108,7 @@
         writer.write(
             b"HTTP/1.1 503 X\r\ncontent-length: 0\r\nx-not-executed: 1\r\n\r\n"
         )
+        writer.close()
 
     async def work():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -68,10 +68,13 @@
 async def forward_slowly(reader, writer):
     """Forward a stream at the speed of the slowest link."""
     piece = LINK_BYTES_PER_SECOND // 100
-    while data := await reader.read(piece):
-        writer.write(data)
-        await writer.drain()
-        await asyncio.sleep(len(data) / LINK_BYTES_PER_SECOND)
+    try:
+        while data := await reader.read(piece):
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(len(data) / LINK_BYTES_PER_SECOND)
+    finally:
+        writer.close()
 
 
 @asynccontextmanager
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -207,6 +207,7 @@
         writer.write(
             b"HTTP/1.1 503 X\r\ncontent-length: 0\r\nx-not-executed: 1\r\n\r\n"
         )
+        writer.close()
 
     async def work():
         server = await asyncio.start_server(refuse, "127.0.0.1", 0)
