Answers cut anywhere are not complete in serve/ and on links between nodes

Here: five kinds of head cut at every byte for GET and HEAD in serve/, and a result cut at every byte on a link. None is taken for complete on the code as it stands; not a fault here.

--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -83,6 +83,28 @@
         send_request(parts, then_close=True)
 
 
+RESPONSE_HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 5\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "unframed": b"HTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+    "empty": b"HTTP/1.1 204 OK\r\nx: y\r\n\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("framing", RESPONSE_HEADS)
+def test_response_cut_anywhere_in_its_head_is_not_complete(framing, method):
+    """A target stopped in the middle of its response's head and closed.
+
+    Callers must not get an empty or short body as a whole one.
+    """
+    head = RESPONSE_HEADS[framing]
+    for cut in range(len(head)):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            send_request([head[:cut]], method, then_close=True)
+
+
 def test_response_to_head_has_no_body():
     """A response to HEAD ends with its headers, whatever its content length."""
     reply, usable = send_request(
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -206,6 +206,18 @@
     assert_that((bodies, is_closed), Equals(([], False)))
 
 
+def test_result_cut_anywhere_is_not_complete():
+    """A link that ends within a result must not pass on an empty or short answer."""
+    result = Result(
+        7, ANSWERED, Load(0, 0, 4, 1.0), 200, [(b"x-response-seal", b"s")], b"body"
+    )
+    data = encode_frame(result)
+    for cut in range(len(data)):
+        assert_that(list(FrameDecoder().feed(data[:cut])), Equals([]))
+    (decoded,) = FrameDecoder().feed(data)
+    assert_that(decoded.body, Equals(b"body"))
+
+
 def test_error_in_the_gate_is_answered():
     """An unexpected error in one call gives it an unknown outcome, and ends no link."""
 
