--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,10 @@
     COLD_SLACK,
     DRAIN_SECONDS,
     EVACUATION_SECONDS,
+    LIMIT_EXCESS_FACTOR,
+    LIMIT_SLACK,
+    LIMIT_WINDOW_SECONDS,
+    STABLE_SECONDS,
     Fleet,
 )
 from .target import Run, SoakTarget
@@ -58,6 +62,10 @@
         """Return the runs of all targets."""
         return [run for target in self.targets for run in target.run_log]
 
+    def map_nodes(self) -> dict[str, str]:
+        """Return the node at which each request began, by its id."""
+        return {record.request_id: record.node for record in self.records}
+
 
 def _check_runs(observations: Observations) -> Iterator[Violation]:
     counts = Counter(run.request_id for run in observations.runs)
@@ -129,6 +137,55 @@
                 break
 
 
+def _check_limits(observations: Observations) -> Iterator[Violation]:
+    """Find targets that got more requests than the limit allows that they named."""
+    nodes = observations.map_nodes()
+    for target in observations.targets:
+        for need in target.needs:
+            starts = [
+                run.started_at
+                for run in target.run_log
+                if run.instance == need.instance
+                and need.began + STABLE_SECONDS <= run.started_at < need.ended
+                and not _was_restarted(
+                    observations, nodes.get(run.request_id), need.began, run.started_at
+                )
+            ]
+            allowed = LIMIT_EXCESS_FACTOR * need.rate * LIMIT_WINDOW_SECONDS
+            for start in starts:
+                count = sum(
+                    start <= other < start + LIMIT_WINDOW_SECONDS for other in starts
+                )
+                if count > allowed + LIMIT_SLACK:
+                    text = f"{need.instance}: {count} starts at {need.rate} a second"
+                    yield Violation("limit", text)
+                    break
+
+
+def _check_stated_leaves(observations: Observations) -> Iterator[Violation]:
+    """Find requests of a node that had passed on an answer of a leaving target."""
+    answered = {r.request_id: r for r in observations.records if r.ended}
+    for target in observations.targets:
+        passed_on: dict[tuple[str, str], float] = {}
+        for run in target.run_log:
+            stated_at = target.stated_leaves.get(run.instance, float("inf"))
+            record = answered.get(run.request_id)
+            if record is None or run.started_at < stated_at:
+                continue
+            key = (run.instance, record.node)
+            known_at = passed_on.get(key, float("inf"))
+            if record.sent > known_at + DRAIN_SECONDS and not _was_restarted(
+                observations, record.node, known_at, run.started_at
+            ):
+                text = (
+                    f"{run.request_id} reached {run.instance} "
+                    f"{record.sent - known_at:.2f} s after its leave was known"
+                )
+                yield Violation("stated-leave", text)
+            if record.status == 200:
+                passed_on[key] = min(known_at, record.ended)
+
+
 def _check_configuration(observations: Observations) -> Iterator[Violation]:
     """Find routes that a node process refuses after it has served them."""
     served: dict[tuple[str, int, str], float] = {}
@@ -217,6 +274,18 @@
     )
 
 
+def _was_restarted(
+    observations: Observations, node: str | None, since: float, until: float
+) -> bool:
+    """Return whether a node was stopped or paused in some time."""
+    kinds = ("pause", "kill", "term")
+    return any(
+        fault.began <= until and since <= fault.ended
+        for fault in observations.injected_faults
+        if fault.node == node and fault.kind in kinds
+    )
+
+
 def find_violations(observations: Observations) -> list[Violation]:
     """Return all violated guarantees."""
     checks = (
@@ -225,6 +294,8 @@
         _check_leaves,
         _check_evacuations,
         _check_cold,
+        _check_limits,
+        _check_stated_leaves,
         _check_configuration,
         _check_activation,
         _check_lost_answers,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 import attrs
 
 from .clients import Clients
-from .fleet import DRAIN_SECONDS, Fleet, Node
+from .fleet import DRAIN_SECONDS, LIMIT_WINDOW_SECONDS, STABLE_SECONDS, Fleet, Node
 from .proxy import Impairment
 
 __all__ = ["FAULTS", "InjectedFault", "Injector"]
@@ -21,6 +21,8 @@
 longest faults, so that faults of one series overlap too."""
 DURATION_SECONDS = (0.4, 3.0)
 """Range of the duration of a fault."""
+LIMITS = (0.5, 2.0, 7.5)
+"""Limits in requests per second that targets name, far below the load on a target."""
 
 
 @attrs.define
@@ -173,7 +175,7 @@
 
 
 async def _crash_target(injector: Injector, node: Node) -> None:
-    if not node.target.is_up or node.target.state != "ready":
+    if not node.target.is_steady:
         return
     node.target.crash()
     await asyncio.sleep(injector.draw_duration())
@@ -182,7 +184,7 @@
 
 async def _drain_target(injector: Injector, node: Node) -> None:
     target = node.target
-    if not target.is_up or target.state != "ready":
+    if not target.is_steady:
         return
     await target.leave()
     await asyncio.sleep(DRAIN_SECONDS + 0.5)
@@ -191,6 +193,25 @@
     await target.start(is_cold=True)
 
 
+async def _limit_target(injector: Injector, node: Node) -> None:
+    target = node.target
+    if not target.is_steady or target.rate_limit:
+        return
+    seconds = STABLE_SECONDS + LIMIT_WINDOW_SECONDS + injector.draw_duration()
+    await target.name_limit(injector.rng.choice(LIMITS), seconds)
+
+
+async def _leave_without_heartbeat(injector: Injector, node: Node) -> None:
+    target = node.target
+    if not target.is_steady:
+        return
+    target.state_leave()
+    await asyncio.sleep(DRAIN_SECONDS + 1.5)
+    target.crash()
+    await asyncio.sleep(0.3)
+    await target.start(is_cold=True)
+
+
 async def _configure(injector: Injector, _node: Node) -> None:
     injector.fleet.configure(**{name: {} for name in injector.clients.added_routes})
 
@@ -237,6 +258,9 @@
     "answers-crossed": _spoil_answers("crossed_answer_share", 0.2),
     "answer-endless": _spoil_answers("endless_answer_share", 0.1),
     "answer-silent": _spoil_answers("silent_share", 0.2),
+    "answers-stale": _spoil_answers("stale_answer_share", 0.2),
+    "target-limited": _limit_target,
+    "target-says-leaving": _leave_without_heartbeat,
     "target-crash": _crash_target,
     "target-drain": _drain_target,
     "configure": _configure,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -25,6 +25,10 @@
     "DRAIN_SECONDS",
     "EVACUATION_SECONDS",
     "GRACE_SECONDS",
+    "LIMIT_EXCESS_FACTOR",
+    "LIMIT_SLACK",
+    "LIMIT_WINDOW_SECONDS",
+    "STABLE_SECONDS",
     "Fleet",
     "Node",
 ]
@@ -37,6 +41,11 @@
 """Time that a node process has to exit after a signal."""
 APPLY_SECONDS = 2.0
 """Time within which a new configuration is in force."""
+STABLE_SECONDS = 3.0
+"""Time after which a limit that a target has named must be kept."""
+LIMIT_WINDOW_SECONDS, LIMIT_EXCESS_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+"""In any such time, a target may get what its limit allows times the factor, plus the
+slack, as the users' rules state it."""
 COLD_FACTOR, COLD_SLACK = 1.5, 5.0
 """Limit of starts at a cold target in one second: its rate times the factor, plus the
 slack; both as on the users' smaller sites."""
--- a/soak/target.py
+++ b/soak/target.py
@@ -14,7 +14,7 @@
 from standins.meshfleet import send_request
 from standins.meshtarget import MeshTarget
 
-__all__ = ["Run", "SoakTarget"]
+__all__ = ["Need", "Run", "SoakTarget"]
 
 HEARTBEAT_SECONDS = 0.5
 COLD_SECONDS = 2.0
@@ -33,6 +33,19 @@
     is_cold: bool
 
 
+@attrs.define
+class Need:
+    """A time in which an instance named a limit in its answers.
+
+    `rate` is in requests per second, the times are monotonic.
+    """
+
+    instance: str
+    rate: float
+    began: float
+    ended: float = float("inf")
+
+
 @attrs.define(eq=False)
 class SoakTarget(MeshTarget):
     """The target of one node, across its restarts."""
@@ -49,6 +62,9 @@
     """Share of requests that get an answer to another request before their own."""
     endless_answer_share: float = 0.0
     """Share of requests that run and get bytes without end, which are no answer."""
+    stale_answer_share: float = 0.0
+    """Share of requests that run and get a copy of a refusal, which names no request,
+    before their own answer."""
     silent_share: float = 0.0
     """Share of requests that neither run nor are answered, like all that follow on the
     same connection."""
@@ -57,6 +73,10 @@
     """Time at which the current instance's leave was acknowledged."""
     leaves: list[tuple[str, float]] = attrs.Factory(list)
     """Instance and time of each acknowledged leave."""
+    needs: list[Need] = attrs.Factory(list)
+    stated_leaves: dict[str, float] = attrs.Factory(dict)
+    """Time from which an instance said in all its answers that it is leaving, without
+    a heartbeat."""
     is_up: bool = False
     started_ms: int = 0
     """Start time of the current instance in Unix milliseconds."""
@@ -70,6 +90,7 @@
         self.instance = f"i-{self.node}-{next(_instance_numbers)}"
         self.started_ms = int(time.time() * 1000)
         self.state, self.left_at, self._sequence = "ready", None, 0
+        self.is_leaving = False
         self.cold_until = time.monotonic() + COLD_SECONDS if is_cold else 0.0
         previous = self.address
         await self.open(
@@ -77,6 +98,11 @@
         )
         self.is_up = True
 
+    @property
+    def is_steady(self) -> bool:
+        """Return whether the instance runs and is not leaving."""
+        return self.is_up and self.state == "ready" and not self.is_leaving
+
     def crash(self) -> None:
         """Stop at once: reset all connections and announce nothing."""
         self.is_up = False
@@ -114,6 +140,20 @@
         self.leaves.append((instance, self.left_at))
         return True
 
+    def state_leave(self) -> None:
+        """Say in all further answers that the instance is leaving."""
+        self.is_leaving = True
+        self.stated_leaves[self.instance] = time.monotonic()
+
+    async def name_limit(self, rate: float, seconds: float) -> None:
+        """Name a limit in all answers for some time."""
+        need = Need(self.instance, rate, time.monotonic())
+        self.needs.append(need)
+        self.rate_limit = str(rate)
+        await asyncio.sleep(seconds)
+        self.rate_limit = ""
+        need.ended = time.monotonic()
+
     async def _send_rpc(self, call: str, body: bytes) -> bool:
         path = f"/cactusshed/rpc?call={call}&of={self.instance}"
         try:
@@ -167,6 +207,8 @@
         if self.rng.random() < self.crossed_answer_share:
             other_headers = {**headers, b"x-attempt-id": b"another"}
             self._write(writer, 200, other_headers, b"another")
+        if self.rng.random() < self.stale_answer_share:
+            self._write_stale_refusal(writer)
         # The body names the request, so that clients can detect a wrong answer.
         self._write(writer, 200, headers, headers[b"x-attempt-id"])
         return True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 from soak.clients import Record
 from soak.faults import FAULTS, InjectedFault
 from soak.runner import run_soak
-from soak.target import Run, SoakTarget
+from soak.target import Need, Run, SoakTarget
 
 NODES = 4
 SECONDS = 6.0
@@ -46,11 +46,15 @@
     leaves=(),
     added_routes=(),
     unexpected_exits=0,
+    needs=(),
+    stated_leaves=(),
 ):
     """Return the observations of one target in the data centre `dc`."""
     target = SoakTarget(node="n", data_centre="dc")
     target.run_log = list(runs)
     target.leaves = list(leaves)
+    target.needs = list(needs)
+    target.stated_leaves = dict(stated_leaves)
     last = Record("late", "/read/x", "n", 1, 1000.0, 1000.1, 200, b"late")
     served = [Run("late", "/read/x", "i", 1000.0, False)]
     target.run_log += served
@@ -123,6 +127,25 @@
                 ],
             },
         ),
+        (
+            "limit",
+            {
+                "records": [make_record()],
+                "runs": [make_run(started_at=10 + n / 10) for n in range(12)],
+                "needs": [Need("i", 1.0, 7.0)],
+            },
+        ),
+        (
+            "stated-leave",
+            {
+                "records": [
+                    make_record("r", sent=10.0, ended=10.1),
+                    make_record("s", sent=12.2, ended=12.3),
+                ],
+                "runs": [make_run("r"), make_run("s", started_at=12.2)],
+                "stated_leaves": [("i", 9.0)],
+            },
+        ),
         (
             "no-return",
             {
@@ -168,6 +191,24 @@
     assert_that(found, Equals({guarantee}))
 
 
+def test_restart_of_the_first_node_excuses_it():
+    """A node that has restarted need not know what answers said before."""
+    observations = make_observations(
+        records=[
+            make_record("r", sent=10.0, ended=10.1),
+            *(make_record(f"s{n}", sent=12.2, ended=12.3) for n in range(12)),
+        ],
+        runs=[
+            make_run("r"),
+            *(make_run(f"s{n}", started_at=12.2) for n in range(12)),
+        ],
+        needs=[Need("i", 1.0, 7.0)],
+        stated_leaves=[("i", 9.0)],
+        injected_faults=[InjectedFault("kill", "n", 10.5, 11.0)],
+    )
+    assert_that(find_violations(observations), Equals([]))
+
+
 def test_unplanned_fault_excuses_a_lost_answer():
     """An answer lost right after a kill is not a violation."""
     observations = make_observations(
