A stopping cactusshedd refuses calls that it can not answer before its end

Cause: all calls were accepted until the drain limit, whatever their deadline, and the connections were closed two seconds later. Change: the drain tells the handler by when answers must be out, once for the whole drain and once for the closing of the connections; a call whose deadline is later is refused as not run (node-leaving). Calls made by targets belong to accepted requests and are served.

--- a/cactusshed/drain.py
+++ b/cactusshed/drain.py
@@ -8,10 +8,11 @@
 from .observe.events import log_event
 from .serve.listener import Listener
 
-__all__ = ["stop_listeners", "wait_idle"]
+__all__ = ["STOP_SECONDS", "stop_listeners", "wait_idle"]
 
 POLL_SECONDS = 0.02
 STOP_SECONDS = 2.0
+"""Time for the last answers while connections are being closed."""
 
 
 async def wait_idle(
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -7,7 +7,7 @@
 import grpc
 
 from .clock import read_monotonic, read_wall
-from .drain import stop_listeners, wait_idle
+from .drain import STOP_SECONDS, stop_listeners, wait_idle
 from .duty.closures import ClosureHandler
 from .duty.moves import MoveDuty
 from .duty.tallies import TallyCollector
@@ -302,9 +302,12 @@
         self.view.update_local_member(state=State.LEFT, targets=())
         log_event("leaving", running=self._count_busy())
         self._gossip.send_pending()
+        grace, limit = self.settings.drain_grace, self.settings.drain_limit
+        self._caller_app.answer_by = read_monotonic() + grace + limit
         # Responses carry `connection: close`, so that callers switch nodes in time.
-        await anyio.sleep(self.settings.drain_grace)
-        await wait_idle(self._count_busy, self.settings.drain_limit, self.counters)
+        await anyio.sleep(grace)
+        await wait_idle(self._count_busy, limit, self.counters)
+        self._caller_app.answer_by = read_monotonic() + STOP_SECONDS
         await stop_listeners(listeners)
 
     def _count_busy(self) -> int:
--- a/cactusshed/serve/callers.py
+++ b/cactusshed/serve/callers.py
@@ -31,6 +31,7 @@
 MAX_KEY_CHARS = 256
 DEFAULT_TENANT = "-"
 NOT_READY = NotRun("not-ready", 1.0)
+NODE_LEAVING = NotRun("node-leaving")
 NO_ROUTE = NotRun("no-route")
 TOO_DEEP = NotRun("too-deep")
 CONNECTION_CLOSE: Headers = [(b"connection", b"close")]
@@ -49,6 +50,9 @@
     is_leaving: Callable[[], bool]
     watcher: DisconnectWatcher
     running: int = 0
+    answer_by: float = float("inf")
+    """Monotonic time of the last answers of a node that stops; a call whose deadline is
+    later is refused, since its answer might be cut off."""
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -99,13 +103,17 @@
             return NotRun("malformed")
         if depth >= MAX_DEPTH:
             return TOO_DEEP
+        deadline = started + min(route.timeout, requested_timeout or route.timeout)
+        # Calls made by targets belong to requests that were accepted earlier.
+        if deadline > self.answer_by and not depth:
+            return NODE_LEAVING
         return Call(
             call_id=secrets.token_hex(8),
             method=method,
             path=_join_path(scope),
             headers=list(strip_internal_headers(headers)),
             body=body,
-            deadline=started + min(route.timeout, requested_timeout or route.timeout),
+            deadline=deadline,
             depth=depth,
             tenant=tenant or DEFAULT_TENANT,
             service=route.service,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,8 +1,10 @@
 """Failures with real processes: kills, silent connections, drains, crash requests."""
 
+import contextlib
 import threading
 import time
 
+import httpcore
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
@@ -11,7 +13,7 @@
 from standins.process import wait_for
 from standins.relay import Relay
 
-from .fleets import read_running, start_call, start_nodes
+from .fleets import read_running, start_call, start_nodes, wait_version
 
 
 @pytest.fixture
@@ -118,6 +120,43 @@
     assert_that(answers[0].headers.get("connection"), Equals("close"))
 
 
+def test_request_late_in_a_stop_is_answered_or_refused(fleet):
+    """A stopping node passed on requests that its targets could not finish in time.
+
+    They were cut without an answer when the node ended, though they had run.
+    """
+    fleet.start_node("dakar-2", "dakar", extra={"drain-limit": "1"})
+    start_nodes(fleet, ["dakar-1"])
+    fleet.submit("dakar-1", "warm", {"/": {"warm-start": "20"}}, {"/": 1})
+    wait_version(fleet, 2)
+    fleet.start_target("responses-1", "dakar-1", "responses")
+    fleet.wait_targets("dakar-2", "responses", 1)
+    answered, senders = set(), []
+
+    def send(name):
+        with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+            answer = fleet.call("dakar-2", "/responses?ms=2500", "POST", name.encode())
+            if answer.status == 200:
+                answered.add(name)
+
+    def start_sender():
+        name = f"r{len(senders)}"
+        senders.append(threading.Thread(target=send, args=(name,)))
+        senders[-1].start()
+
+    start_sender()
+    wait_for("running", lambda: read_running(fleet, "dakar-1") == 1)
+    stopping = threading.Thread(target=fleet.processes["dakar-2"].stop)
+    stopping.start()
+    while stopping.is_alive():
+        start_sender()
+        time.sleep(0.2)
+    for sender in senders:
+        sender.join()
+    wait_for("idle", lambda: read_running(fleet, "dakar-1") == 0)
+    assert_that(set(fleet.fetch_runs("responses-1")), Equals(answered))
+
+
 def test_cold_target_gets_little(fleet):
     """A target that can run two calls while cold never gets more at once."""
     start_nodes(fleet, ["dakar-1"])
