--- a/soak/target.py
+++ b/soak/target.py
@@ -19,6 +19,8 @@
 HEARTBEAT_SECONDS = 0.5
 COLD_SECONDS = 2.0
 """Time for which a target is cold after a restart."""
+LONG_SHARE, LONG_SECONDS = 0.05, 0.5
+"""Share and time of the requests that take long, so that planned stops meet some."""
 _instance_numbers = itertools.count(1)
 
 
@@ -200,6 +202,11 @@
             await send_endlessly(writer, self.rng.choice(list(ENDLESS)))
         return await super()._run(reader, writer, path, headers)
 
+    async def _work(self, reader, seconds: float) -> bool:
+        if self.rng.random() < LONG_SHARE:
+            seconds = LONG_SECONDS
+        return await super()._work(reader, seconds)
+
     def _answer(self, writer, action, headers) -> bool:
         if self.rng.random() < self.lost_answer_share:
             writer.transport.abort()
