Limits that change hold in any four seconds, also after idle times

The tests of the bucket asked for starts without a pause, so a bucket that keeps four seconds' worth of them passed. The new one has idle times and changing limits; it fails with such a bucket.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -7,6 +7,8 @@
 
 import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
@@ -268,6 +270,36 @@
         assert_that(in_window, LessThan(1.5 * rate * 4.0 + 5))
 
 
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 90.0), st.floats(0.01, 6.0), st.booleans()),
+        min_size=1,
+        max_size=8,
+    )
+)
+def test_starts_stay_within_limits_that_change(phases):
+    """Requests that come evenly or in series never exceed the highest limit named."""
+    limit = NamedRateLimit()
+    now, named, starts = 0.0, [], []
+    for rate, seconds, is_demand_steady in phases:
+        limit.note_answer(rate, now, now)
+        named.append((now, now + seconds, rate))
+        end = now + seconds
+        while now < end:
+            while is_demand_steady and limit.bucket.count(now) > 0:
+                limit.bucket.take(now)
+                starts.append(now)
+            now += 0.05
+    for start in starts:
+        window_end = start + 4.0
+        highest = max(
+            rate for begin, end, rate in named if begin < window_end and end > start
+        )
+        count = sum(start <= other < window_end for other in starts)
+        assert_that(count, LessThan(1.5 * highest * 4.0 + 5))
+
+
 def test_first_nodes_leave_a_limited_target_to_its_own_clients():
     """With one start a second, other nodes don't know whether it has been taken."""
     now = 100.0
