A test of health answers closes the connection that it opened

The last warning of the whole run on arm64: a stand-in server of tests/test_gate_mesh.py left its writer to the collector. None of the warnings came from mesh/.

--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -201,6 +201,7 @@
         writer.write(copy)
         await reader.readuntil(b"\r\n\r\n")
         writer.write(copy + health)
+        writer.close()
 
     async def work():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
