--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,7 +20,7 @@
     STABLE_SECONDS,
     Fleet,
 )
-from .target import Run, SoakTarget
+from .target import LimitPeriod, Run, SoakTarget
 
 __all__ = ["Observations", "Violation", "count_statuses", "find_violations"]
 
@@ -137,29 +137,39 @@
                 break
 
 
+def _find_limited_starts(
+    observations: Observations, target: SoakTarget, period: LimitPeriod
+) -> Iterator[float]:
+    """Yield the starts for which the limit counts that a target named."""
+    nodes = observations.map_nodes()
+    for run in target.run_log:
+        is_limited = period.began + STABLE_SECONDS <= run.started_at < period.ended
+        if run.instance != period.instance or not is_limited:
+            continue
+        node = nodes.get(run.request_id)
+        if not _was_restarted(observations, node, period.began, run.started_at):
+            yield run.started_at
+
+
 def _check_limits(observations: Observations) -> Iterator[Violation]:
     """Find targets that got more requests than the limit allows that they named."""
-    nodes = observations.map_nodes()
     for target in observations.targets:
-        for need in target.needs:
-            starts = [
-                run.started_at
-                for run in target.run_log
-                if run.instance == need.instance
-                and need.began + STABLE_SECONDS <= run.started_at < need.ended
-                and not _was_restarted(
-                    observations, nodes.get(run.request_id), need.began, run.started_at
-                )
-            ]
-            allowed = LIMIT_EXCESS_FACTOR * need.rate * LIMIT_WINDOW_SECONDS
-            for start in starts:
-                count = sum(
-                    start <= other < start + LIMIT_WINDOW_SECONDS for other in starts
-                )
-                if count > allowed + LIMIT_SLACK:
-                    text = f"{need.instance}: {count} starts at {need.rate} a second"
-                    yield Violation("limit", text)
-                    break
+        for period in target.limit_periods:
+            starts = list(_find_limited_starts(observations, target, period))
+            highest = max(
+                (
+                    sum(
+                        start <= other < start + LIMIT_WINDOW_SECONDS
+                        for other in starts
+                    )
+                    for start in starts
+                ),
+                default=0,
+            )
+            allowed = LIMIT_EXCESS_FACTOR * period.rate * LIMIT_WINDOW_SECONDS
+            if highest > allowed + LIMIT_SLACK:
+                text = f"{period.instance}: {highest} starts at {period.rate} a second"
+                yield Violation("limit", text)
 
 
 def _check_stated_leaves(observations: Observations) -> Iterator[Violation]:
--- a/soak/target.py
+++ b/soak/target.py
@@ -14,7 +14,7 @@
 from standins.meshfleet import send_request
 from standins.meshtarget import MeshTarget
 
-__all__ = ["Need", "Run", "SoakTarget"]
+__all__ = ["LimitPeriod", "Run", "SoakTarget"]
 
 HEARTBEAT_SECONDS = 0.5
 COLD_SECONDS = 2.0
@@ -36,7 +36,7 @@
 
 
 @attrs.define
-class Need:
+class LimitPeriod:
     """A time in which an instance named a limit in its answers.
 
     `rate` is in requests per second, the times are monotonic.
@@ -75,7 +75,7 @@
     """Time at which the current instance's leave was acknowledged."""
     leaves: list[tuple[str, float]] = attrs.Factory(list)
     """Instance and time of each acknowledged leave."""
-    needs: list[Need] = attrs.Factory(list)
+    limit_periods: list[LimitPeriod] = attrs.Factory(list)
     stated_leaves: dict[str, float] = attrs.Factory(dict)
     """Time from which an instance said in all its answers that it is leaving, without
     a heartbeat."""
@@ -149,12 +149,12 @@
 
     async def name_limit(self, rate: float, seconds: float) -> None:
         """Name a limit in all answers for some time."""
-        need = Need(self.instance, rate, time.monotonic())
-        self.needs.append(need)
+        period = LimitPeriod(self.instance, rate, time.monotonic())
+        self.limit_periods.append(period)
         self.rate_limit = str(rate)
         await asyncio.sleep(seconds)
         self.rate_limit = ""
-        need.ended = time.monotonic()
+        period.ended = time.monotonic()
 
     async def _send_rpc(self, call: str, body: bytes) -> bool:
         path = f"/cactusshed/rpc?call={call}&of={self.instance}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 from soak.clients import Record
 from soak.faults import FAULTS, InjectedFault
 from soak.runner import run_soak
-from soak.target import Need, Run, SoakTarget
+from soak.target import LimitPeriod, Run, SoakTarget
 
 NODES = 4
 SECONDS = 6.0
@@ -46,14 +46,14 @@
     leaves=(),
     added_routes=(),
     unexpected_exits=0,
-    needs=(),
+    limit_periods=(),
     stated_leaves=(),
 ):
     """Return the observations of one target in the data centre `dc`."""
     target = SoakTarget(node="n", data_centre="dc")
     target.run_log = list(runs)
     target.leaves = list(leaves)
-    target.needs = list(needs)
+    target.limit_periods = list(limit_periods)
     target.stated_leaves = dict(stated_leaves)
     last = Record("late", "/read/x", "n", 1, 1000.0, 1000.1, 200, b"late")
     served = [Run("late", "/read/x", "i", 1000.0, False)]
@@ -132,7 +132,7 @@
             {
                 "records": [make_record()],
                 "runs": [make_run(started_at=10 + n / 10) for n in range(12)],
-                "needs": [Need("i", 1.0, 7.0)],
+                "limit_periods": [LimitPeriod("i", 1.0, 7.0)],
             },
         ),
         (
@@ -202,7 +202,7 @@
             make_run("r"),
             *(make_run(f"s{n}", started_at=12.2) for n in range(12)),
         ],
-        needs=[Need("i", 1.0, 7.0)],
+        limit_periods=[LimitPeriod("i", 1.0, 7.0)],
         stated_leaves=[("i", 9.0)],
         injected_faults=[InjectedFault("kill", "n", 10.5, 11.0)],
     )
