A malformed limit in an answer does not end the limit named before

What callers saw: nothing; found by reading the docstring of test_malformed_rate_limit_is_ignored against the code. A Server-Limit that can't be read was taken like an answer without one, which ends the limit, and the target got its full traffic until the next answer. Change: only an answer without the header ends a limit; one that can't be read changes nothing. Evidence: test_malformed_limit_does_not_end_a_limit fails on the commit before and passes.

--- a/cactusshed/mesh/notices.py
+++ b/cactusshed/mesh/notices.py
@@ -25,16 +25,17 @@
 
     def read(self, answer: Answer, sent_at: float) -> None:
         """Read the answer to a request that was sent at `sent_at`."""
-        rate = header_names.read_rate_limit(answer.find(header_names.RATE_LIMIT))
-        self._note_rate(rate, sent_at)
-        self._read_leaving(answer, sent_at)
+        if answer.find(header_names.RATE_LIMIT) is None:
+            self._note_rate(None, sent_at)
+        self.read_health(answer, sent_at)
 
     def read_health(self, answer: Answer, sent_at: float) -> None:
         """Read the answer to a health request, which may omit the limit."""
         rate = header_names.read_rate_limit(answer.find(header_names.RATE_LIMIT))
         if rate is not None:
             self._note_rate(rate, sent_at)
-        self._read_leaving(answer, sent_at)
+        if (answer.find(header_names.LEAVING) or b"").strip() == b"1":
+            self.on_leaving(sent_at)
 
     def _note_rate(self, rate: float | None, sent_at: float) -> None:
         limit = self.rate_limit
@@ -47,7 +48,3 @@
                 started_before=starts,
             )
             limit.starts = 0
-
-    def _read_leaving(self, answer: Answer, sent_at: float) -> None:
-        if (answer.find(header_names.LEAVING) or b"").strip() == b"1":
-            self.on_leaving(sent_at)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -104,6 +104,20 @@
     assert_that(run_async(work), Equals((7.5, None)))
 
 
+def test_malformed_limit_does_not_end_a_limit():
+    """A garbled header lifted the limit, as if the target had named none."""
+
+    async def work():
+        async with open_gate() as opened:
+            opened.target.rate_limit = "7.5"
+            await opened.gate.run(make_call("r1"))
+            opened.target.rate_limit = "7,5 a second"
+            await opened.gate.run(make_call("r2"))
+            return opened.gate.notices.rate_limit.rate
+
+    assert_that(run_async(work), Equals(7.5))
+
+
 def test_answer_overtaken_by_a_limit_does_not_end_it():
     """A request sent before the limit was named is answered without it afterwards."""
 
