Bodies in small chunks take the memory of their bytes

Cause: each chunk was kept as an object of its own. The budget for bodies counts bytes of the body, and two of them took an object and a list entry, 28 times as much. The framing limit, eight bytes a byte of body, let millions of such chunks pass, each of which takes processor time. A body also stayed in memory after its reservation was returned, until the garbage collector found the closed connection.

Why this works: bodies are appended to one buffer, which takes at most twice its size while it grows, and the buffer is dropped where the reservation is returned. A body beyond 256 KiB may have an eighth of framing. The same cause on related paths: request bodies of clients (`mesh/connection.py`), bodies in parts between nodes, where parts of no bytes took memory without limit, and both sides of `serve/`.

--- a/cactusshed/mesh/answermeter.py
+++ b/cactusshed/mesh/answermeter.py
@@ -13,7 +13,11 @@
 MAX_ANSWER_BYTES = 16 << 20
 """Maximum size of an answer's body; far above the largest of the users' services."""
 FRAMING_FACTOR = 8
-"""Bytes of framing allowed per byte of body; chunks of one byte have five."""
+"""Bytes of framing allowed per byte of a small body; chunks of one byte have five."""
+SMALL_BODY_BYTES = 256 << 10
+LARGE_BODY_FRAMING = 1 / 8
+"""Bytes of framing allowed per further byte of body. Each chunk takes processor time,
+so a large answer may not consist of tiny ones."""
 
 
 class TooManyBytes(Exception):
@@ -38,9 +42,13 @@
         if not has_head and self._received > MAX_HEAD_BYTES:
             self._exceed("answer head is too large")
         framing_bytes = self._received - self._body_bytes
-        if framing_bytes > MAX_HEAD_BYTES + size + FRAMING_FACTOR * self._body_bytes:
+        if framing_bytes > MAX_HEAD_BYTES + size + self._get_allowed_framing():
             self._exceed("answer has too much framing")
 
+    def _get_allowed_framing(self) -> float:
+        small = min(self._body_bytes, SMALL_BODY_BYTES)
+        return FRAMING_FACTOR * small + LARGE_BODY_FRAMING * (self._body_bytes - small)
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Count a header or a trailer."""
         self._header_bytes += len(name) + len(value)
--- a/cactusshed/mesh/bodyparts.py
+++ b/cactusshed/mesh/bodyparts.py
@@ -77,8 +77,7 @@
     """A frame whose body is being received."""
 
     frame: Call | Result
-    parts: list[bytes] = attrs.Factory(list)
-    received: int = 0
+    body: bytearray = attrs.Factory(bytearray)
 
 
 @attrs.define(eq=False)
@@ -111,14 +110,13 @@
         if incoming is None:
             return None
         frame = incoming.frame
-        incoming.received += len(part.data)
-        if incoming.received > frame.body_size:
+        if len(incoming.body) + len(part.data) > frame.body_size:
             raise Malformed("body exceeds its size", step="read body part")
-        incoming.parts.append(part.data)
-        if incoming.received < frame.body_size:
+        incoming.body += part.data
+        if len(incoming.body) < frame.body_size:
             return None
         del self._incoming[key]
-        frame.body = b"".join(incoming.parts)
+        frame.body = bytes(incoming.body)
         return frame
 
     def expects(self, link: object, number: int) -> bool:
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -49,7 +49,7 @@
     def _reset(self) -> None:
         self._url = b""
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._in_body = False
         self._refusal_status = 0
@@ -178,9 +178,9 @@
             self._reserve_body(self._size - self._reserved)
 
     def on_body(self, data: bytes) -> None:
-        """Store a chunk of the body; refuse a body that is too large."""
+        """Append a chunk of the body; refuse a body that is too large."""
         self._add_body_bytes(len(data))
-        self._chunks.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Hand the complete request to the pipeline."""
@@ -188,7 +188,7 @@
             self._parser.get_method(),
             self._url,
             self._headers,
-            b"".join(self._chunks),
+            bytes(self._body),
             self._listener.loop.time(),
             self.request_started,
             self._reserved,
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -117,7 +117,7 @@
         self._has_head = False
         self._must_close = False
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self.is_closed = False
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
@@ -165,7 +165,7 @@
             # Its end would be taken for the start of the next answer.
             self._must_close = True
         self._headers = []
-        self._chunks = []
+        self._body = bytearray()
         self._has_head = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -184,9 +184,9 @@
             self._complete(keep_alive=False)
 
     def on_body(self, data: bytes) -> None:
-        """Store a chunk of the body."""
+        """Append a chunk of the body."""
         self._meter.add_body(len(data))
-        self._chunks.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Complete the pending request, unless the answer belongs to another one."""
@@ -207,7 +207,7 @@
         if waiter is None or waiter.done():
             return
         status = self._parser.get_status_code()
-        answer = Answer(status, self._headers, b"".join(self._chunks))
+        answer = Answer(status, self._headers, bytes(self._body))
         if self._identity:
             echoed = answer.find(self._identity) or b""
             if echoed != self._expected:
@@ -259,6 +259,7 @@
         finally:
             self._waiter = None
             self._parser = None
+            self._body = bytearray()
             self._meter.release()
             self.idle_since = loop.time()
         if self._must_close:
--- a/cactusshed/serve/asgi.py
+++ b/cactusshed/serve/asgi.py
@@ -62,7 +62,7 @@
     Up to `MAX_DISCARDED_BYTES` more are read and discarded first. Otherwise a
     caller that is still sending would see a connection reset, not the refusal.
     """
-    chunks = []
+    body = bytearray()
     size = 0
     while True:
         event = await receive()
@@ -71,12 +71,12 @@
         chunk = event.get("body", b"")
         size += len(chunk)
         if size <= limit:
-            chunks.append(chunk)
+            body += chunk
         is_last = not event.get("more_body")
         if size > limit and (is_last or size > limit + MAX_DISCARDED_BYTES):
             raise TooLarge(f"request body exceeds {limit} bytes", step="read body")
         if is_last:
-            return b"".join(chunks)
+            return bytes(body)
 
 
 async def serve_request(
--- a/cactusshed/serve/connection.py
+++ b/cactusshed/serve/connection.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import ssl
-from collections import deque
 from collections.abc import AsyncIterator
 
 import anyio
@@ -42,8 +41,7 @@
 
     def __init__(self) -> None:
         self.headers: Headers = []
-        self.chunks: deque[bytes] = deque()
-        self.buffered_bytes = 0
+        self.body = bytearray()
         self.status = 0
         self.has_headers = False
         self.is_complete = False
@@ -75,9 +73,8 @@
         self.has_headers = self.status >= FIRST_FINAL_STATUS
 
     def on_body(self, data: bytes) -> None:
-        """Store a chunk of the body."""
-        self.chunks.append(data)
-        self.buffered_bytes += len(data)
+        """Append a chunk to the part of the body that is not read yet."""
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Record the end of the response, unless it is interim."""
@@ -119,7 +116,7 @@
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
                 self._fail(httpcore.RemoteProtocolError("response headers too large"))
-        if parsed.buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
+        if len(parsed.body) > MAX_BUFFERED_BYTES and not self._is_paused:
             self._is_paused = True
             self.transport.pause_reading()
         self._wake()
@@ -193,10 +190,10 @@
     ) -> AsyncIterator[bytes]:
         """Yield the body; the connection becomes idle only at its end."""
         while True:
-            while parsed.chunks:
-                chunk = parsed.chunks.popleft()
-                parsed.buffered_bytes -= len(chunk)
-                yield chunk
+            if parsed.body:
+                received, parsed.body = parsed.body, bytearray()
+                yield bytes(received)
+                continue
             if parsed.is_complete or is_head_request:
                 break
             await self._wait(parsed.is_complete)
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -11,6 +11,7 @@
     "endless-header": (_HEAD + b"x: ", _FILL),
     "endless-interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 500),
     "endless-body": (_CHUNKED, b"3e80\r\n" + _FILL + b"\r\n"),
+    "endless-chunks": (_CHUNKED, b"2\r\nno\r\n" * 2000),
     "endless-unframed": (_HEAD + b"\r\n", _FILL),
     "endless-extension": (_CHUNKED + b"1;x=", _FILL),
     "endless-trailers": (_CHUNKED + b"1\r\nz\r\n0\r\n", b"x: y\r\n" * 2000),
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,25 +1,35 @@
 """Bytes that are no answer, without end: every reader closes the connection early."""
 
 import asyncio
+import gc
 import time
+import tracemalloc
 from contextlib import asynccontextmanager
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from cactusshed.errors import CactusError
 from cactusshed.mesh.frames import UNKNOWN
 from cactusshed.mesh.framing import MAX_FRAME_BYTES
 from cactusshed.mesh.link import serve_links
+from cactusshed.mesh.listener import Listener
+from cactusshed.mesh.messages import make_response
 from cactusshed.mesh.pool import ConnectionPool
+from cactusshed.mesh.table import Limits
 from cactusshed.mesh.targetclient import request_health
 from cactusshed.mesh.upstream import UpstreamFailed, open_upstream
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address
 from cactusshed.platform.rows import RowStore
 from cactusshed.policy.bodybudget import BodyBudget
-from cactusshed.serve.connection import exchange, make_request, open_connection
+from cactusshed.serve.connection import (
+    MAX_BUFFERED_BYTES,
+    exchange,
+    make_request,
+    open_connection,
+)
 from standins.endless import ENDLESS, send_endlessly
 from standins.ports import choose_port
 
@@ -36,6 +46,7 @@
     "endless-header": "answer head is too large",
     "endless-interim": "too many interim answers",
     "endless-body": "bodies of all answers are too large",
+    "endless-chunks": "answer has too much framing",
     "endless-unframed": "bodies of all answers are too large",
     "endless-extension": "answer has too much framing",
     "endless-trailers": "answer head is too large",
@@ -152,6 +163,101 @@
     assert_that(used, Equals(0))
 
 
+READ_ALLOWANCE_BYTES = 2 << 20
+"""Memory for a read from a socket and for the parser, besides the body."""
+
+
+def measure_peak(work):
+    """Run a coroutine function; return the bytes of Python memory that it adds."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        run_async(work)
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+def test_answer_in_small_chunks_takes_the_memory_of_its_body():
+    """Chunks kept as an object each took 28 times their bytes: nodes were killed."""
+
+    async def run():
+        budget = BodyBudget(BUDGET_BYTES)
+        async with open_endless_server("endless-chunks") as (address, _):
+            upstream = await open_upstream(address, budget=budget)
+            with pytest.raises(UpstreamFailed):
+                await upstream.exchange(b"GET / HTTP/1.1\r\n\r\n")
+
+    # A growing buffer is copied at times, so there are up to two of its size.
+    assert_that(
+        measure_peak(run), LessThan(2 * BUDGET_BYTES + 2 * READ_ALLOWANCE_BYTES)
+    )
+
+
+def test_failed_answer_holds_no_body():
+    """Memory is returned with its reservation, not when the connection is collected."""
+
+    async def run():
+        async with open_endless_server("endless-body") as (address, _):
+            upstream = await open_upstream(address, budget=BodyBudget(BUDGET_BYTES))
+            with pytest.raises(UpstreamFailed):
+                await upstream.exchange(b"GET / HTTP/1.1\r\n\r\n")
+            gc.collect()
+            return tracemalloc.get_traced_memory()[0]
+
+    gc.collect()
+    tracemalloc.start()
+    try:
+        assert_that(run_async(run), LessThan(READ_ALLOWANCE_BYTES))
+    finally:
+        tracemalloc.stop()
+
+
+def test_request_in_small_chunks_takes_the_memory_of_its_body():
+    """The listener keeps chunked requests in as little memory as answers."""
+
+    async def run():
+        async def serve(request):
+            return make_response(200, b"%d" % len(request.body))
+
+        limits = Limits(4096, BUDGET_BYTES, 10.0, 10.0)
+        listener = Listener(
+            serve, lambda: limits, lambda _: None, body_budget=BodyBudget(BUDGET_BYTES)
+        )
+        await listener.open("127.0.0.1", port := choose_port())
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n")
+        for _ in range(BUDGET_BYTES // 4000):
+            writer.write(b"2\r\nno\r\n" * 2000)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        answer = await reader.readuntil(b"HTTP/1.1 200 OK\r\n")
+        writer.close()
+        listener.stop()
+        return answer
+
+    assert_that(
+        measure_peak(run), LessThan(3 * BUDGET_BYTES + 2 * READ_ALLOWANCE_BYTES)
+    )
+
+
+def test_product_connection_keeps_small_chunks_in_the_memory_of_their_bytes():
+    """The client connection of `serve` buffers what is not read yet alike."""
+
+    async def run():
+        async with open_endless_server("endless-chunks") as (address, _):
+            connection = await open_connection(address, None, 1.0)
+            request = make_request(address, "GET", b"/", [], b"")
+            reply = await exchange(connection, request)
+            assert_that(len(reply.body), GreaterThan(MAX_BUFFERED_BYTES))
+            await asyncio.sleep(0.2)
+            await connection.aclose()
+
+    assert_that(
+        measure_peak(run), LessThan(4 * MAX_BUFFERED_BYTES + 2 * READ_ALLOWANCE_BYTES)
+    )
+
+
 @pytest.mark.parametrize("action", ENDLESS)
 def test_health_check_is_not_fooled(action):
     """A health answer without end is no answer, and ends within its time."""
