A stopping node cuts off no calls of nodes that connect during its stop

What callers saw: around planned stops that overlap, a request got a 502 in place of the answer that its target was making, or of one that had run (the users' rule LOST).

Cause: a node that shuts down says so once, to the nodes that are connected at that moment. A node that restarts meanwhile connects and takes it for usable, as `Hello` did not carry the fact and cleared it at the other side. The stopping node takes the calls of such nodes until it exits, waiting for none that arrive after its last check.

Evidence: in the users' record, `sidecar-natal-1` logs its own end at 3910.482, is back, and loses `sidecar-fortaleza-1` at 3911.053, in its own planned stop, with a call sent 138 ms before.

Why this works: `Hello` says whether its sender is leaving, so a node never sends calls there. A call that reaches a stopping node all the same, from a node of an earlier build for example, is refused as not run if it comes after the last accepted requests or could last longer than the stop; the first node then tries another target. The rule is the one that holds for clients, now in `policy/plannedstop.py`.

The soak could not see this: it counted only connections that ended without an answer. It now counts a node's own 502 too.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -13,6 +13,7 @@
 from ..observe.histograms import CallClass, Histograms
 from ..observe.lines import log_line
 from ..platform import headers as header_names
+from ..policy.plannedstop import PlannedStop
 from .callplan import CallPlan, Outcome
 from .dispatch import Dispatcher
 from .frames import ANSWERED, NOT_RUN, Call, Result
@@ -66,11 +67,8 @@
     service: str
     moves: Moves
     rng: random.Random = attrs.Factory(random.Random)
-    is_closing: bool = False
-    """Whether only calls made by requests running here are still accepted."""
-    answer_by: float = float("inf")
-    """Monotonic time of the last answers of a node that stops; a request whose deadline
-    is later is refused, since its answer might be cut off."""
+    stop: PlannedStop = attrs.Factory(PlannedStop)
+    """Calls made by requests running here are accepted also while it refuses others."""
     longest_timeout: dict[str, float] = attrs.Factory(dict)
     """Longest timeout that clients have sent, in seconds by route."""
 
@@ -99,8 +97,7 @@
             self.counters.add("refused_no_id")
             return make_response(400)
         plan = self._make_plan(request, route)
-        is_accepted = not self.is_closing and plan.deadline <= self.answer_by
-        if not is_accepted and not plan.call.is_nested:
+        if not self.stop.accepts(plan.deadline) and not plan.call.is_nested:
             self.counters.add("refused_leaving")
             return self._refuse(LEAVING_RETRY_SECONDS)
         outcome = await self._run(plan)
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -73,6 +73,8 @@
     restarted restores its target's state from it."""
     takes_parts: bool = False
     """Whether the sender accepts bodies in parts; earlier builds do not."""
+    is_leaving: bool = False
+    """Whether the sender is shutting down; earlier builds do not say so."""
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -8,6 +8,7 @@
 from ..clock import read_monotonic
 from ..observe.lines import log_line
 from ..policy.bodybudget import RETRY_SECONDS
+from ..policy.plannedstop import PlannedStop
 from .bodyparts import BodyAssembler
 from .crashes import CrashTracker
 from .frames import (
@@ -46,6 +47,7 @@
     handle_other: Callable[[Link, Frame], None]
     bodies: BodyAssembler
     """Calls whose bodies are being received."""
+    stop: PlannedStop
     moves: Moves | None = None
     relay: Relay | None = None
     _calls: dict[tuple[int, int], tuple[Call, asyncio.Task]] = attrs.Factory(dict)
@@ -58,7 +60,9 @@
     def handle(self, link: Link, frame: Frame) -> None:
         """Handle one frame."""
         if isinstance(frame, Call):
-            if frame.body_size and not frame.body:
+            if not self.stop.accepts(read_monotonic() + frame.remaining_ms / 1000):
+                self._refuse(link, frame, "leaving")
+            elif frame.body_size and not frame.body:
                 self._start_body(link, frame)
             else:
                 self._start(link, frame)
@@ -86,17 +90,20 @@
         if self.bodies.start(link, call):
             return
         log_line("no-memory", request=call.request_id, bytes=call.body_size)
-        self.gate.counters.add("gate_refused_no_memory")
-        retry_after_ms = int(RETRY_SECONDS * 1000)
-        link.send(
-            Result(
-                call.number,
-                NOT_RUN,
-                self.gate.get_load(),
-                code="no-memory",
-                retry_after_ms=retry_after_ms,
-            )
+        self._refuse(link, call, "no-memory", RETRY_SECONDS)
+
+    def _refuse(
+        self, link: Link, call: Call, code: str, retry_after: float = 0.0
+    ) -> None:
+        self.gate.counters.add(f"gate_refused_{code.replace('-', '_')}")
+        result = Result(
+            call.number,
+            NOT_RUN,
+            self.gate.get_load(),
+            code=code,
+            retry_after_ms=int(retry_after * 1000),
         )
+        link.send(result)
 
     def _start(self, link: Link, call: Call) -> None:
         task = asyncio.create_task(self._run(link, call))
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -226,7 +226,6 @@
             return
         self._update_member(member, hello)
         member.is_up = True
-        member.is_leaving = False
         member.hello_received.set()
         log_line("peer-found", member=member.node, service=member.service)
         self._on_member(member)
@@ -238,6 +237,7 @@
         member.data_centre = hello.data_centre
         member.service = hello.service
         member.state = hello.state
+        member.is_leaving = hello.is_leaving
         if hello.state.name:
             member.remembered = hello.state
         member.link_mbps = hello.link_mbps
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -5,7 +5,7 @@
 
 from ..clock import read_monotonic
 from ..observe.lines import log_line
-from .callers import CallerHandler
+from ..policy.plannedstop import PlannedStop
 from .listener import Listener
 from .storesync import StoreSync
 
@@ -33,7 +33,7 @@
 
 async def drain(
     listener: Listener,
-    caller_handler: CallerHandler,
+    stop: PlannedStop,
     count_remote: Callable[[], int],
     grace: float,
 ) -> None:
@@ -43,17 +43,17 @@
     """
     started = read_monotonic()
     listener.is_closing = True
-    end = caller_handler.answer_by = started + grace - STOP_MARGIN_SECONDS
+    end = stop.answer_by = started + grace - STOP_MARGIN_SECONDS
     while read_monotonic() < end:
         spent = read_monotonic() - started
-        caller_handler.is_closing = spent >= ACCEPT_SECONDS
+        stop.is_closed = spent >= ACCEPT_SECONDS
         if spent >= UNREADY_NOTICE_SECONDS:
             listener.close_idle(MIN_IDLE_SECONDS)
             if not listener.count_busy() and not count_remote():
                 break
         await asyncio.sleep(POLL_SECONDS)
-    # Requests on connections that are already open still get a refusal.
-    caller_handler.is_closing = True
+    # What still arrives over open connections and links gets a refusal.
+    stop.is_closed = True
     listener.stop()
     end = min(end, read_monotonic()) + LAST_ANSWERS_SECONDS
     while read_monotonic() < end and listener.connections:
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -15,6 +15,7 @@
 from ..platform.rows import RowStore
 from ..policy.bodybudget import make_body_budgets
 from ..policy.gateretries import GateRetryBudget
+from ..policy.plannedstop import PlannedStop
 from ..policy.quarantine import Quarantine
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
@@ -60,6 +61,7 @@
         self.is_leaving = False
         self.counters = Counters()
         self.histograms = Histograms()
+        self.planned_stop = PlannedStop()
         self.quarantine = Quarantine()
         self.crash_tracker = CrashTracker(self.quarantine)
         self.records = Records(
@@ -115,6 +117,7 @@
             self.crash_tracker,
             self._handle_frame,
             BodyAssembler(self.request_budget),
+            self.planned_stop,
         )
         self.peers: Peers | None = None
         self.moves: Moves | None = None
@@ -134,6 +137,7 @@
             link_mbps=self.settings.link_mbps,
             remembered=remembered,
             takes_parts=True,
+            is_leaving=self.is_leaving,
         )
 
     def _add_member(self, node: str, address: str) -> None:
@@ -254,6 +258,7 @@
             self.histograms,
             settings.service,
             self.moves,
+            stop=self.planned_stop,
         )
         links = await serve_links(
             settings.peers,
@@ -269,7 +274,7 @@
         gc.freeze()
         try:
             await stop.wait()
-            await self._shut_down(listeners[0], caller_handler)
+            await self._shut_down(listeners[0])
         finally:
             for task in tasks:
                 task.cancel()
@@ -344,15 +349,13 @@
         """Return the number of other nodes' calls that run or are being answered."""
         return self.inbound.running + self.peers.count_unsent()
 
-    async def _shut_down(
-        self, listener: Listener, caller_handler: CallerHandler
-    ) -> None:
+    async def _shut_down(self, listener: Listener) -> None:
         """Announce the shutdown to peers and drain clients and running calls."""
         grace = self.settings.bounds.grace
         killed_at = read_monotonic() + grace
         self.is_leaving = True
         log_line("leaving", running=self.gate.queue.running)
         self._broadcast_state()
-        await drain(listener, caller_handler, self._count_remote, grace)
+        await drain(listener, self.planned_stop, self._count_remote, grace)
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -26,6 +26,8 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses which guarantee that the request has not run."""
+LOST_STATUSES = frozenset({0, 502})
+"""No answer, or a node's own in place of one that its target has begun to make."""
 AFTEREFFECT_SECONDS = 3.0
 """Time after the end of a fault in which an answer may still be lost because of it; the
 recovery is checked after this time."""
@@ -229,10 +231,13 @@
 def _check_lost_answers(observations: Observations) -> Iterator[Violation]:
     """Find answers that were lost without an unplanned fault."""
     for record in observations.records:
-        if record.status or not record.was_sent or not record.ended:
+        if not record.was_sent or not record.ended:
+            continue
+        if record.status not in LOST_STATUSES:
             continue
         if not _overlaps_fault(observations, record):
-            text = f"{record.request_id} at {record.node}: {record.cause}"
+            cause = record.cause or f"status {record.status}"
+            text = f"{record.request_id} at {record.node}: {cause}"
             yield Violation("lost", text)
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -30,6 +30,7 @@
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address
 from cactusshed.policy.bodybudget import BodyBudget
+from cactusshed.policy.plannedstop import PlannedStop
 from cactusshed.policy.quarantine import Quarantine
 from standins.meshfleet import (
     MeshFleet,
@@ -108,7 +109,7 @@
     def handle_other(_link, frame):
         received.append((type(frame), time.monotonic()))
 
-    inbound = Inbound(gate, tracker, handle_other, BodyAssembler(budget))
+    inbound = Inbound(gate, tracker, handle_other, BodyAssembler(budget), PlannedStop())
     inbound.relay = attrs.make_class("Relay", [])()
     type(inbound.relay).handle = lambda _self, link, frame: handle_other(link, frame)
     address = Address("127.0.0.1", choose_port())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -169,6 +169,13 @@
                 "injected_faults": [InjectedFault("term", "n", 9.0, 12.0)],
             },
         ),
+        (
+            "lost",
+            {
+                "records": [make_record(status=502)],
+                "injected_faults": [InjectedFault("term", "n", 9.0, 12.0)],
+            },
+        ),
         ("own-end", {"unexpected_exits": 1}),
         (
             "recovery",
