Odd entries of other writers are refused by themselves

It could happen here: with one such row in the store, a node reads no further configuration (`test_node_follows_the_rows_beside_an_odd_one`, red on for the three nested values), and with one heartbeat whose `born` is far in the future it takes all later ones for outdated.

Cause: every reader expected msgspec's `DecodeError`, but deep nesting raises `RecursionError`, and whole numbers of any length pass as Python integers until they are divided or sent to another node. A task that met one was restarted and met it again. The row client decoded a page as a whole, so that one row lost all others, and continued after the last row that it could read.

Why this works: `decoding.py` turns every failure of a decoder into `Malformed`, which all callers expect, and its types bound numbers to what can be sent on. Rows of a page are decoded one by one, and reading continues after the last key.

--- a/cactusshed/member/announcements.py
+++ b/cactusshed/member/announcements.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 
+from ..decoding import decode_json
 from ..errors import Forbidden, Malformed
 from ..observe.events import log_event
 from ..options import Address, BadOption, parse_address, parse_int, parse_name
@@ -62,7 +62,7 @@
 def parse_announcement(body: bytes, source: str) -> Announcement:
     """Return the announcement in `body`, sent from the IP address `source`."""
     try:
-        announcement = msgspec.json.decode(body, type=Announcement)
+        announcement = decode_json(body, Announcement, step="announce", peer=source)
         for option in ("target", "service", "version"):
             parse_name(option, getattr(announcement, option))
         address = parse_address("address", announcement.address)
@@ -73,7 +73,7 @@
             )
         if not announcement.incarnation:
             raise BadOption("incarnation: is empty")
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise Malformed(str(error), step="announce", peer=source) from error
     if ipaddress.ip_address(address.ip) != ipaddress.ip_address(source):
         raise Forbidden(
--- a/cactusshed/member/joiner.py
+++ b/cactusshed/member/joiner.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from ..clock import read_monotonic
-from ..errors import AnswerLost, CactusError, ConditionFailed
+from ..decoding import decode_json
+from ..errors import AnswerLost, CactusError, ConditionFailed, Malformed
 from ..observe.counters import Counters
 from ..observe.events import log_event
 from ..options import Address, BadOption, parse_address
@@ -206,6 +207,6 @@
 
 def _parse_seed(value: str) -> Address | None:
     try:
-        return parse_address("seed", msgspec.json.decode(value, type=str))
-    except (BadOption, msgspec.DecodeError):
+        return parse_address("seed", decode_json(value, str, step="read seed"))
+    except (BadOption, Malformed):
         return None
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -207,8 +207,8 @@
 
 
 def _read_timeout(request: Request, default: float) -> float:
-    text = request.find(header_names.DEADLINE_MS) or b""
-    return int(text) / 1000 if text.isdigit() else default
+    limit_ms = header_names.read_milliseconds(request.find(header_names.DEADLINE_MS))
+    return default if limit_ms is None else limit_ms / 1000
 
 
 def _filter_headers(headers: Headers) -> Headers:
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..decoding import Count, FiniteNumber
+
 __all__ = [
     "ANSWERED",
     "NOT_RUN",
@@ -43,18 +45,18 @@
     `revision` increases with each change until the node restarts.
     """
 
-    revision: int = 0
+    revision: Count = 0
     name: str = ""
     version: str = ""
-    slots: int = 0
-    start_time: int = 0
+    slots: Count = 0
+    start_time: Count = 0
     is_open: bool = False
     """Whether new calls are accepted."""
     is_cold: bool = False
     leave_acknowledged: bool = False
     """Whether the target has announced its leave, and got an acknowledgement, or states
     in its answers that it is leaving."""
-    rate_limit: float = 0.0
+    rate_limit: FiniteNumber = 0.0
     """Requests per second that the target takes from all nodes; 0 for no limit."""
 
 
@@ -62,12 +64,12 @@
     """First message on a connection, in both directions."""
 
     node: str
-    start_time: int
+    start_time: Count
     data_centre: str
     address: str
     service: str
     state: TargetState
-    link_mbps: float
+    link_mbps: FiniteNumber
     remembered: TargetState | None = None
     """Last state of the receiver's target known to the sender. A receiver that has
     restarted restores its target's state from it."""
@@ -83,7 +85,7 @@
     running: int
     waiting: int
     limit: int
-    mean_service_ms: float
+    mean_service_ms: FiniteNumber
     starts_left: int = 0
     """Requests that may start now under the target's rate limit, less those that wait;
     0 without such a limit."""
--- a/cactusshed/mesh/framing.py
+++ b/cactusshed/mesh/framing.py
@@ -56,7 +56,7 @@
                 break
             try:
                 yield _decoder.decode(memoryview(self._buffer)[body : body + length])
-            except msgspec.DecodeError as error:
+            except (ValueError, RecursionError) as error:
                 raise Malformed(str(error), step="read frame") from error
             start = body + length
         if start:
--- a/cactusshed/mesh/healthchecks.py
+++ b/cactusshed/mesh/healthchecks.py
@@ -89,11 +89,10 @@
             log_line("target-replaced", known=known, found=instance)
             return
         self.gate.notices.read_health(answer, sent_at)
-        cold_ms = answer.find(header_names.COLD_MS) or b"0"
-        seconds = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
+        cold_ms = header_names.read_milliseconds(answer.find(header_names.COLD_MS))
         self.gate.set_close_reason("target-down", False)
         self.gate.set_close_reason("target-unknown", False)
-        self.announcements.update_cold(seconds)
+        self.announcements.update_cold((cold_ms or 0) / 1000)
 
     def _handle_unreachable(self, error: NotSent) -> None:
         if self.gate.set_close_reason("target-down", True):
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from ..clock import read_monotonic
+from ..decoding import decode_json
+from ..errors import Malformed
 from ..observe.lines import log_line
 from ..platform.rows import ABSENT
 from ..policy.rollout import CLOSING, COMPLETE, REVERTED, Move, choose_version
@@ -199,7 +201,7 @@
 def decode_move(value: bytes) -> Move | None:
     """Return the move in a row or message; `None` if it can't be decoded."""
     try:
-        return msgspec.json.decode(value, type=Move)
-    except (msgspec.DecodeError, ValueError) as error:
+        return decode_json(value, Move, step="read move")
+    except Malformed as error:
         log_line("move-row-refused", cause=str(error))
         return None
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from ..clock import read_monotonic
-from ..errors import AnswerLost, CactusError, ConditionFailed
+from ..decoding import decode_json
+from ..errors import AnswerLost, CactusError, ConditionFailed, Malformed
 from ..observe.counters import Counters
 from ..observe.lines import log_line
+from ..platform.fields import check_address, check_text
 from ..platform.rowkeys import MEMBER_PREFIX, OPERATOR_TABLE, SYSTEM_TABLE
 from ..platform.rows import ABSENT, ConditionalPut, HistoryGone, RowStore, StoredRow
 from .frames import TargetState
@@ -48,11 +50,16 @@
 
 
 def decode_member(row: StoredRow) -> MemberRow | None:
-    """Return the member in a row; `None` if it can't be decoded."""
+    """Return the member in a row; `None` if it names none that can be used."""
     try:
-        return msgspec.json.decode(row.value, type=MemberRow)
-    except (msgspec.DecodeError, ValueError):
+        member = decode_json(row.value, MemberRow, step="read member")
+        check_text("node", member.node)
+        check_address("address", member.address)
+        for text in (member.state.name, member.state.version):
+            check_text("state", text or "-")
+    except Malformed:
         return None
+    return member if row.key == f"{MEMBER_PREFIX}{member.node}" else None
 
 
 @attrs.define(eq=False)
--- a/cactusshed/operate/app.py
+++ b/cactusshed/operate/app.py
@@ -5,9 +5,9 @@
 from urllib.parse import parse_qs
 
 import attrs
-import msgspec
 
 from ..clock import read_monotonic
+from ..decoding import decode_json
 from ..duty.closures import ClosureHandler
 from ..errors import Forbidden, Malformed
 from ..member.announcements import TargetRegistry, parse_announcement
@@ -144,18 +144,12 @@
 
 
 async def _accept(app: OperatorApp, request: Request, send: Send) -> None:
-    try:
-        change = msgspec.json.decode(request.body, type=ChangeRequest)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise Malformed(str(error), step="accept") from error
+    change = decode_json(request.body, ChangeRequest, step="accept")
     await send_json(send, await app.editor.accept(change))
 
 
 async def _close(app: OperatorApp, request: Request, send: Send) -> None:
-    try:
-        closure = msgspec.json.decode(request.body, type=ClosureRequest)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise Malformed(str(error), step="close") from error
+    closure = decode_json(request.body, ClosureRequest, step="close")
     await send_json(send, await app.closure_handler.accept(closure))
 
 
--- a/cactusshed/platform/announcements.py
+++ b/cactusshed/platform/announcements.py
@@ -1,16 +1,23 @@
 """Heartbeats and leaves of targets, mapped to announcements."""
 
 import attrs
-import msgspec
 
+from ..clock import read_wall
+from ..decoding import decode_json
 from ..errors import Malformed
-from .fields import read_int, read_seconds, read_text
+from .fields import check_text, read_address, read_int, read_seconds, read_text
 
 __all__ = ["Announcement", "decode_announcement", "read_start_time", "read_call"]
 
 HEARTBEAT = "instances.heartbeat"
 LEAVE = "instances.leave"
 RPC_PATH = "/cactusshed/rpc"
+MAX_SLOTS = 100_000
+MAX_SEQUENCE = 2**31
+"""Highest number of a heartbeat: with one a second, it is reached after 68 years."""
+MAX_CLOCK_LEAD_SECONDS = 86400.0
+"""Time by which the clock of a target may be ahead. A start time in a far future would
+make all announcements of the real target look outdated."""
 
 
 @attrs.frozen
@@ -45,29 +52,31 @@
 
 def decode_announcement(name: str, body: bytes) -> Announcement:
     """Parse the body of a heartbeat; raise `Malformed` if it is invalid."""
-    try:
-        fields = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise Malformed(str(error), step="read announcement", peer=name) from error
+    fields = decode_json(body, step="read announcement", peer=name)
     state = read_text(fields, "state")
     if state not in ("ready", "draining"):
         raise Malformed(f"state: {state[:40]!r}", step="read announcement", peer=name)
     return Announcement(
-        name=name,
+        name=check_text("of", name),
         service=read_text(fields, "service"),
         version=read_text(fields, "version"),
-        address=read_text(fields, "address"),
-        slots=max(1, read_int(fields, "slots")),
+        address=str(read_address(fields, "address")),
+        slots=max(1, read_int(fields, "slots", highest=MAX_SLOTS)),
         is_leaving=state == "draining",
         cold_seconds=read_seconds(fields, "cold_left"),
-        number=read_int(fields, "seq"),
-        start_time=read_int(fields, "born", 0),
+        number=read_int(fields, "seq", highest=MAX_SEQUENCE),
+        start_time=_read_start_time(fields),
     )
 
 
+def _read_start_time(fields: object) -> int:
+    latest_ms = int((read_wall() + MAX_CLOCK_LEAD_SECONDS) * 1000)
+    return read_int(fields, "born", 0, latest_ms)
+
+
 def read_start_time(body: bytes) -> int:
     """Return the start time in the body of any call; 0 if it cannot be read."""
     try:
-        return read_int(msgspec.json.decode(body), "born", 0)
-    except (Malformed, msgspec.DecodeError):
+        return _read_start_time(decode_json(body, step="read announcement"))
+    except Malformed:
         return 0
--- a/cactusshed/platform/boot.py
+++ b/cactusshed/platform/boot.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator
 
 import attrs
-import msgspec
 
-from ..errors import CactusError, InvalidSettings
+from ..decoding import decode_json
+from ..errors import CactusError, InvalidSettings, Malformed
 from ..options import Address
 from .fields import (
     read_address,
@@ -89,8 +89,8 @@
     """Read the settings at `path`; raise `InvalidSettings` with every error."""
     try:
         with open(path, "rb") as source:
-            fields = msgspec.json.decode(source.read())
-    except (OSError, msgspec.DecodeError) as error:
+            fields = decode_json(source.read(), step="read settings", peer=path)
+    except (OSError, Malformed) as error:
         raise InvalidSettings(str(error), step="read settings", peer=path) from error
     values: dict = {}
     errors = list(_collect_values(fields, values))
--- a/cactusshed/platform/document.py
+++ b/cactusshed/platform/document.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 
 import attrs
-import msgspec
 
+from ..decoding import decode_json
 from ..errors import Malformed
 from ..mesh.table import Limits, Route, Service, Table, WeightedService, build_table
 from .fields import (
@@ -31,16 +31,9 @@
     seconds: float
 
 
-def _decode(data: bytes) -> object:
-    try:
-        return msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
-        raise Malformed(str(error), step="read document") from error
-
-
 def decode_table(data: bytes) -> Table:
     """Parse a configuration document; raise `Malformed` if it is invalid."""
-    document = _decode(data)
+    document = decode_json(data, step="read document")
     return build_table(
         read_int(document, "version"),
         _read_routes(document),
@@ -51,7 +44,7 @@
 
 def decode_move(data: bytes) -> MoveOrder:
     """Parse a roll-out document; raise `Malformed` if it is invalid."""
-    order = _decode(data)
+    order = decode_json(data, step="read document")
     seconds = read_seconds(order, "duration")
     return MoveOrder(read_text(order, "service"), read_text(order, "to"), seconds)
 
@@ -82,7 +75,10 @@
     if "split" not in action:
         yield WeightedService(read_text(action, "service"), 1.0)
         return
-    for entry in read_list(action, "split"):
+    entries = read_list(action, "split")
+    if not entries:
+        raise Malformed("split: empty", step="read document")
+    for entry in entries:
         yield WeightedService(read_text(entry, "service"), read_number(entry, "weight"))
 
 
--- a/cactusshed/platform/fields.py
+++ b/cactusshed/platform/fields.py
@@ -2,10 +2,13 @@
 
 from typing import Any
 
+from ..decoding import MAX_COUNT
 from ..errors import Malformed
 from ..options import Address, BadOption, parse_address
 
 __all__ = [
+    "check_address",
+    "check_text",
     "read_address",
     "read_int",
     "read_list",
@@ -17,6 +20,8 @@
 
 MAX_TEXT_CHARS = 200
 """Longest key that the platform's store accepts."""
+MAX_SECONDS = 1e9
+"""Longest duration; far longer ones exceed the range of timers."""
 
 
 def _read_field(
@@ -28,49 +33,62 @@
     is_unexpected_bool = isinstance(value, bool) and expected_type is not bool
     if value is None or is_unexpected_bool or not isinstance(value, expected_type):
         raise Malformed(
-            f"{field}: missing or wrong type: {str(value)[:40]!r}",
+            f"{field}: missing or wrong type {type(value).__name__}",
             step="read field",
         )
     return value
 
 
-def read_text(source: Any, field: str, default: str | None = None) -> str:
-    """Return a non-empty text of at most `MAX_TEXT_CHARS` characters."""
-    text = _read_field(source, field, str, default)
+def _check_range(field: str, value: float, highest: float) -> None:
+    if not 0 <= value <= highest:
+        raise Malformed(f"{field}: not from 0 to {highest:g}", step="read field")
+
+
+def check_text(field: str, text: str) -> str:
+    """Return a text that can stand in a key and in a header; raise `Malformed`."""
     if not text or len(text) > MAX_TEXT_CHARS:
         raise Malformed(
             f"{field}: length {len(text)} is not 1 to {MAX_TEXT_CHARS}",
             step="read field",
         )
+    if not text.isprintable():
+        raise Malformed(f"{field}: control characters", step="read field")
     return text
 
 
-def read_int(source: Any, field: str, default: int | None = None) -> int:
-    """Return a non-negative integer."""
+def read_text(source: Any, field: str, default: str | None = None) -> str:
+    """Return a printable text of 1 to `MAX_TEXT_CHARS` characters."""
+    return check_text(field, _read_field(source, field, str, default))
+
+
+def read_int(
+    source: Any, field: str, default: int | None = None, highest: int = MAX_COUNT
+) -> int:
+    """Return an integer from 0 to `highest`."""
     value = _read_field(source, field, int, default)
-    if value < 0:
-        raise Malformed(f"{field}: {value} is negative", step="read field")
+    _check_range(field, value, highest)
     return value
 
 
 def read_number(source: Any, field: str, default: float | None = None) -> float:
-    """Return a non-negative number."""
-    value = float(_read_field(source, field, (int, float), default))
-    if value < 0:
-        raise Malformed(f"{field}: {value} is negative", step="read field")
-    return value
+    """Return a number from 0 to `MAX_COUNT`."""
+    value = _read_field(source, field, (int, float), default)
+    _check_range(field, value, MAX_COUNT)
+    return float(value)
 
 
 def read_seconds(source: Any, field: str, default: str | None = None) -> float:
-    """Return the seconds of a duration such as `1500ms` or `2.5s`."""
+    """Return the seconds of a duration such as `1500ms` or `2.5s`; none is below 0."""
     text = _read_field(source, field, str, default)
     for unit, factor in (("ms", 1e-3), ("s", 1.0)):
         number = text.removesuffix(unit)
         if number != text:
             try:
-                return max(0.0, float(number) * factor)
+                seconds = max(float(number) * factor, 0.0)
             except ValueError:
                 break
+            _check_range(field, seconds, MAX_SECONDS)
+            return seconds
     raise Malformed(f"{field}: {text[:40]!r} is not a duration", step="read field")
 
 
@@ -86,7 +104,15 @@
 
 def read_address(source: Any, field: str) -> Address:
     """Return an IP address and a port."""
+    return check_address(field, read_text(source, field))
+
+
+def check_address(field: str, text: str) -> Address:
+    """Return the IP address and port in `text`; raise `Malformed`."""
     try:
-        return parse_address(field, read_text(source, field))
+        address = parse_address(field, text)
     except BadOption as error:
         raise Malformed(str(error), step="read field") from error
+    if not address.port:
+        raise Malformed(f"{field}: port 0", step="read field")
+    return address
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -15,6 +15,7 @@
     "RATE_LIMIT",
     "SEAL",
     "read_load",
+    "read_milliseconds",
     "read_rate_limit",
 ]
 
@@ -42,6 +43,9 @@
 LEAVING = b"server-leaving"
 """`1` in every answer of a target that is leaving."""
 
+MAX_TIME_DIGITS = 9
+"""Digits of the longest time in milliseconds that is taken: eleven days."""
+
 
 def read_rate_limit(text: bytes | None) -> float | None:
     """Parse a rate limit in requests per second; `None` if absent or malformed."""
@@ -52,6 +56,13 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def read_milliseconds(text: bytes | None) -> int | None:
+    """Parse a time in milliseconds; `None` if absent, malformed or out of range."""
+    if not text or not text.isdigit() or len(text) > MAX_TIME_DIGITS:
+        return None
+    return int(text)
+
+
 def read_load(text: bytes | None) -> tuple[int, int, int] | None:
     """Parse the load of a target: running, waiting, slots; `None` if malformed."""
     parts = (text or b"").split(b",")
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import base64
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from urllib.parse import quote
 
 import attrs
 import msgspec
 
+from ..decoding import decode_json
 from ..errors import (
     AnswerLost,
     CactusError,
@@ -18,7 +19,9 @@
 from ..mesh.pool import ConnectionPool
 from ..mesh.upstream import Answer, NotSent, UpstreamFailed
 from ..observe.counters import Counters
+from ..observe.lines import log_line
 from ..options import Address
+from .fields import read_int, read_list, read_text
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
 
@@ -26,6 +29,7 @@
 """Expected version of a row that must not exist."""
 CALL_TIMEOUT_SECONDS = 1.2
 """Time limit of a call: over twice the 0.5 s of a transaction in the slowest store."""
+MAX_CAUSE_CHARS = 200
 FEED_MARGIN_SECONDS = 0.6
 """Time for the feed's response beyond the requested wait."""
 
@@ -93,11 +97,13 @@
                 query += f"&from={quote(start, safe='')}"
             if prefix:
                 query += f"&to={quote(prefix, safe='')}%7F"
-            found, more, version = await self._read(f"rows-get?{query}", self._timeout)
+            found, last_key, version = await self._read(
+                f"rows-get?{query}", self._timeout
+            )
             rows.extend(found)
-            if not more or not found:
+            if not last_key:
                 return Page(rows, version)
-            start = found[-1].key + "\x00"
+            start = last_key + "\x00"
 
     async def read_row(self, table: str, key: str) -> StoredRow | None:
         """Return one row, or `None` if it does not exist."""
@@ -169,7 +175,7 @@
         if answer.status == 412:
             raise ConditionFailed("a row is at another version", step="write rows")
         fields = _decode(answer, "write rows")
-        return int(fields.get("ver", 0))
+        return read_int(fields, "ver", 0)
 
     async def put_object(self, name: str, data: bytes) -> None:
         """Store `data` as object `name`; raise `AnswerLost` if unconfirmed."""
@@ -202,11 +208,19 @@
         if answer.status == 410:
             raise HistoryGone("the store no longer has the history", step="follow rows")
         fields = _decode(answer, "read rows")
-        try:
-            rows = [_read_row(row) for row in fields["rows"]]
-            return rows, bool(fields.get("has_more")), int(fields["ver"])
-        except (KeyError, TypeError, ValueError) as error:
-            raise Malformed(f"rows: {error!r}", step="read rows") from error
+        entries = read_list(fields, "rows")
+        rows = list(self._read_entries(entries))
+        last_key = _find_last_key(entries) if fields.get("has_more") else ""
+        return rows, last_key, read_int(fields, "ver")
+
+    def _read_entries(self, entries: list) -> Iterator[StoredRow]:
+        """Yield the rows that can be read; the others don't hold them up."""
+        for entry in entries:
+            try:
+                yield _read_row(entry)
+            except (Malformed, ValueError) as error:
+                self._counters.add("rows_refused")
+                log_line("row-refused", cause=str(error)[:MAX_CAUSE_CHARS])
 
     async def _call(
         self, method: bytes, target: str, body: bytes, timeout: float
@@ -268,16 +282,28 @@
     if answer.status != 200:
         text = answer.body[:200].decode("latin-1")
         raise PlatformUnavailable(f"status {answer.status}: {text}", step=step)
-    try:
-        fields = msgspec.json.decode(answer.body)
-    except msgspec.DecodeError as error:
-        raise Malformed(str(error), step=step) from error
+    fields = decode_json(answer.body, step=step)
     if not isinstance(fields, dict):
         raise Malformed("response is not an object", step=step)
     return fields
 
 
-def _read_row(row: dict) -> StoredRow:
-    is_deleted = bool(row.get("deleted"))
-    value = b"" if is_deleted else base64.b64decode(row["value"])
-    return StoredRow(row["table"], row["key"], value, int(row["ver"]), is_deleted)
+def _find_last_key(entries: list) -> str:
+    """Return the key of the last row that has one, from which to continue."""
+    keys = (row.get("key") for row in reversed(entries) if isinstance(row, dict))
+    return next((key for key in keys if key and isinstance(key, str)), "")
+
+
+def _read_row(row: object) -> StoredRow:
+    """Return one row; raise `Malformed` or `ValueError`."""
+    table, key, version = (
+        read_text(row, "table"),
+        read_text(row, "key"),
+        read_int(row, "ver"),
+    )
+    if row.get("deleted"):
+        return StoredRow(table, key, b"", version, is_deleted=True)
+    value = row.get("value")
+    if not isinstance(value, str):
+        raise Malformed(f"value of row {key}: not a text", step="read rows")
+    return StoredRow(table, key, base64.b64decode(value, validate=True), version)
--- a/cactusshed/policy/rollout.py
+++ b/cactusshed/policy/rollout.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ..decoding import Count, FiniteNumber
+
 __all__ = [
     "CLOSING",
     "COMPLETE",
@@ -48,11 +50,11 @@
     service: str
     to: str
     source: str
-    order: int
-    seconds: float
+    order: Count
+    seconds: FiniteNumber
     state: str = RUNNING
-    share: float = 0.0
-    elapsed: float = 0.0
+    share: FiniteNumber = 0.0
+    elapsed: FiniteNumber = 0.0
     holder: str = ""
     reason: str = ""
 
--- a/cactusshed/store/acceptance.py
+++ b/cactusshed/store/acceptance.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from ..clock import read_wall
+from ..decoding import Count, decode_json
 from ..errors import (
     AnswerLost,
     CactusError,
     ConditionFailed,
     Conflict,
     LeaseLost,
-    Malformed,
     PlatformUnavailable,
     UpdateRefused,
 )
@@ -86,10 +86,7 @@
 
 
 def _decode(row: Row, row_type):
-    try:
-        return msgspec.json.decode(row.value, type=row_type)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise Malformed(f"row {row.key}: {error}", step="read row") from error
+    return decode_json(row.value, row_type, step="read row", peer=row.key)
 
 
 async def read_head(port: Port) -> tuple[Head, int]:
@@ -207,7 +204,7 @@
     row = await port.get(make_id_key(change_id))
     if row is None:
         return None
-    number = int(row.value)
+    number = _decode(row, Count)
     change_row = await port.get(make_change_key(number))
     change = load_change(change_row.value.encode())
     if number > head.number:
--- a/cactusshed/store/claimrows.py
+++ b/cactusshed/store/claimrows.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from ..decoding import Count, decode_json
 from .port import Row
 
 __all__ = [
@@ -31,7 +32,7 @@
 class RecordedAnswer:
     """A recorded answer; the body is base64."""
 
-    status: int
+    status: Count
     headers: list[tuple[str, str]]
     body: str
 
@@ -90,13 +91,13 @@
 
 
 def load_claim(row: Row) -> ClaimRow:
-    """Decode a claim row."""
-    return msgspec.json.decode(row.value, type=ClaimRow)
+    """Decode a claim row; raise `Malformed`."""
+    return decode_json(row.value, ClaimRow, step="read claim", peer=row.key)
 
 
 def load_outcome(row: Row) -> OutcomeRow:
-    """Decode an outcome row."""
-    return msgspec.json.decode(row.value, type=OutcomeRow)
+    """Decode an outcome row; raise `Malformed`."""
+    return decode_json(row.value, OutcomeRow, step="read outcome", peer=row.key)
 
 
 def encode_body(body: bytes) -> str:
--- a/cactusshed/store/lease.py
+++ b/cactusshed/store/lease.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..clock import read_monotonic, read_wall
+from ..decoding import Count, decode_json
 from ..errors import AnswerLost, ConditionFailed, LeaseLost
 from .port import ABSENT, Condition, Port, Row, Write
 
@@ -21,7 +22,7 @@
     """Content of a lease row; `expires` is wall time."""
 
     holder: str
-    epoch: int
+    epoch: Count
     expires: float
 
 
@@ -53,7 +54,7 @@
 
 
 def _decode(row: Row) -> LeaseRow:
-    return msgspec.json.decode(row.value, type=LeaseRow)
+    return decode_json(row.value, LeaseRow, step="read lease", peer=row.key)
 
 
 async def acquire_lease(
--- a/cactusshed/tree/snapshot.py
+++ b/cactusshed/tree/snapshot.py
@@ -6,7 +6,8 @@
 import attrs
 import msgspec
 
-from ..errors import UpdateRefused
+from ..decoding import decode_json
+from ..errors import Malformed, UpdateRefused
 from .branch import Branch, Tree, build_tree
 from .edit import Change
 from .validate import check_tree
@@ -40,8 +41,8 @@
     if len(data) > MAX_SNAPSHOT_BYTES:
         raise UpdateRefused("snapshot is too large", step=step)
     try:
-        snapshot = msgspec.json.decode(data, type=Snapshot)
-    except (msgspec.DecodeError, ValueError) as error:
+        snapshot = decode_json(data, Snapshot, step=step)
+    except Malformed as error:
         raise UpdateRefused(f"snapshot is damaged: {error}", step=step) from error
     tree = build_tree(snapshot.number, snapshot.branches)
     if len(tree.branches) != len(snapshot.branches) or tree.digest != snapshot.digest:
@@ -57,6 +58,6 @@
 def load_change(data: bytes, step: str = "load change") -> Change:
     """Return the change in `data`; raise `UpdateRefused` if it is damaged."""
     try:
-        return msgspec.json.decode(data, type=Change)
-    except (msgspec.DecodeError, ValueError) as error:
+        return decode_json(data, Change, step=step)
+    except Malformed as error:
         raise UpdateRefused(f"change is damaged: {error}", step=step) from error
