Odd rows of claims, seeds and changes don't stop the tasks that read them

With one claim row that can't be read, the task that writes all claims of a node ended, and every submission with a key waited until its deadline; with one change row of an earlier number, a node read the changes again without end.

Why this works: an odd claim fails its own key only, an odd outcome counts as unknown, an odd row in place of a claim of this node is left alone, and values that are no text are refused one by one.

--- a/cactusshed/member/joiner.py
+++ b/cactusshed/member/joiner.py
@@ -21,7 +21,7 @@
 from .records import dump_member, load_member
 from .view import BUCKETS, View
 
-__all__ = ["Joiner", "make_sync_replies"]
+__all__ = ["Joiner", "make_sync_replies", "parse_seed"]
 
 SEED_SLOTS = 3
 """Seed rows per data centre; the nodes of the lowest ranks write one each."""
@@ -170,7 +170,7 @@
         except CactusError:
             self.counters.add("seeds_failed")
             return []
-        return [address for row in rows if (address := _parse_seed(row.value))]
+        return [address for row in rows if (address := parse_seed(row.value))]
 
     async def _sync(
         self, address: Address, buckets: list[int], *, propagate: bool = False
@@ -205,7 +205,8 @@
         return fetched_nodes
 
 
-def _parse_seed(value: str) -> Address | None:
+def parse_seed(value: str) -> Address | None:
+    """Return the address in a seed row; `None` if it names none."""
     try:
         return parse_address("seed", decode_json(value, str, step="read seed"))
     except (BadOption, Malformed):
--- a/cactusshed/serve/idempotency.py
+++ b/cactusshed/serve/idempotency.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..errors import PlatformUnavailable
+from ..errors import Malformed, PlatformUnavailable
 from ..observe.counters import Counters
 from ..store.claimrows import (
     MAX_BODY_BYTES,
@@ -64,8 +64,13 @@
         if outcome is None or outcome.answer is None:
             self.counters.add("repeats_unknown")
             return CLAIMED
+        try:
+            reply = _decode_reply(outcome.answer)
+        except (Malformed, UnicodeEncodeError):
+            self.counters.add("repeats_unknown")
+            return CLAIMED
         self.counters.add("repeats_replayed")
-        return Answered(_decode_reply(outcome.answer), replayed=True)
+        return Answered(reply, replayed=True)
 
     def _record_outcome(self, claim: Claim, outcome: Outcome) -> None:
         if isinstance(outcome, NotRun):
--- a/cactusshed/store/acceptance.py
+++ b/cactusshed/store/acceptance.py
@@ -13,6 +13,7 @@
     ConditionFailed,
     Conflict,
     LeaseLost,
+    Malformed,
     PlatformUnavailable,
     UpdateRefused,
 )
@@ -104,15 +105,19 @@
 
 
 async def read_changes(port: Port, after: int, last: int) -> list[Change]:
-    """Return the changes `after + 1` to `last`, in order."""
+    """Return the changes `after + 1` to `last`, in order; raise `Malformed`."""
     changes = []
     while after < last:
         limit = min(MAX_SCAN_ROWS, last - after)
         rows = await port.scan("change/", make_change_key(after), limit)
-        changes.extend(load_change(row.value.encode()) for row in rows)
         if not rows:
             break
-        after = changes[-1].number
+        for row in rows:
+            change = load_change(row.value)
+            if change.number <= after:
+                raise Malformed(f"row {row.key}: out of order", step="read changes")
+            changes.append(change)
+            after = change.number
     return changes
 
 
@@ -206,7 +211,7 @@
         return None
     number = _decode(row, Count)
     change_row = await port.get(make_change_key(number))
-    change = load_change(change_row.value.encode())
+    change = load_change(change_row.value)
     if number > head.number:
         head = await load_head(port)
     if tree.number < head.number:
@@ -235,9 +240,7 @@
 
 async def _find_author(port: Port, number: int) -> str:
     row = await port.get(make_change_key(number)) if number else None
-    return (
-        load_change(row.value.encode()).author if row else "no author (absent branch)"
-    )
+    return load_change(row.value).author if row else "no author (absent branch)"
 
 
 async def _check_guards(port: Port, proposal: Proposal) -> None:
--- a/cactusshed/store/claimrows.py
+++ b/cactusshed/store/claimrows.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..decoding import Count, decode_json
+from ..errors import Malformed
 from .port import Row
 
 __all__ = [
@@ -106,5 +107,8 @@
 
 
 def decode_body(text: str) -> bytes:
-    """Decode the stored body of an answer."""
-    return base64.b64decode(text)
+    """Decode the stored body of an answer; raise `Malformed`."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise Malformed(str(error), step="read outcome") from error
--- a/cactusshed/store/claimwriter.py
+++ b/cactusshed/store/claimwriter.py
@@ -10,7 +10,13 @@
 import attrs
 
 from ..clock import read_monotonic, read_wall
-from ..errors import AnswerLost, CactusError, ConditionFailed, PlatformUnavailable
+from ..errors import (
+    AnswerLost,
+    CactusError,
+    ConditionFailed,
+    Malformed,
+    PlatformUnavailable,
+)
 from ..observe.counters import Counters
 from .claimrows import (
     Claim,
@@ -173,21 +179,18 @@
         for pending in group:
             try:
                 row = await self._port.get(pending.key)
+                pending.holder = None if row is None else load_claim(row)
             except CactusError as error:
                 pending.error = error
-            else:
-                pending.holder = None if row is None else load_claim(row)
 
     async def read_outcome(self, key: str, holder: ClaimRow) -> OutcomeRow | None:
         """Return the outcome of the call that `holder` claimed, `None` if unknown."""
         try:
             row = await self._port.get(make_outcome_key(key))
+            outcome = None if row is None else load_outcome(row)
         except CactusError:
             return None
-        if row is None:
-            return None
-        outcome = load_outcome(row)
-        return outcome if outcome.nonce == holder.nonce else None
+        return outcome if outcome and outcome.nonce == holder.nonce else None
 
     async def _write_outcomes(self) -> None:
         while True:
@@ -231,6 +234,9 @@
             await self._port.commit(
                 [Condition(claim.key, row.version)], [Write(claim.key, None)]
             )
+        except Malformed:
+            # Another writer has replaced the row.
+            return True
         except CactusError:
             return False
         return True
--- a/cactusshed/store/client.py
+++ b/cactusshed/store/client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..errors import CactusError, Malformed
+from ..errors import CactusError
 from ..observe.counters import Counters
 from ..options import parse_address
 from ..platform.rowkeys import SYSTEM_TABLE
@@ -82,7 +82,6 @@
 
 
 def _make_row(row: StoredRow) -> Row:
-    try:
-        return Row(row.key, row.value.decode(), row.version)
-    except UnicodeDecodeError as error:
-        raise Malformed(f"row {row.key}: {error}", step="read row") from error
+    # Bytes that are no text are refused with the value, not with the whole scan.
+    value = row.value.decode(errors="surrogateescape")
+    return Row(row.key, value, row.version)
--- a/cactusshed/tree/snapshot.py
+++ b/cactusshed/tree/snapshot.py
@@ -55,7 +55,7 @@
     return msgspec.json.encode(change)
 
 
-def load_change(data: bytes, step: str = "load change") -> Change:
+def load_change(data: bytes | str, step: str = "load change") -> Change:
     """Return the change in `data`; raise `UpdateRefused` if it is damaged."""
     try:
         return decode_json(data, Change, step=step)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,27 +4,37 @@
 import base64
 from contextlib import suppress
 
+import anyio
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, IsInstance
 
-from cactusshed.clock import read_wall
-from cactusshed.errors import CactusError
+from cactusshed.clock import read_monotonic, read_wall
+from cactusshed.errors import CactusError, Malformed, PlatformUnavailable
+from cactusshed.member.joiner import parse_seed
 from cactusshed.mesh.framing import FrameDecoder
 from cactusshed.mesh.moves import decode_move as decode_move_row
 from cactusshed.mesh.storesync import decode_member
 from cactusshed.observe.counters import Counters
-from cactusshed.options import parse_address
+from cactusshed.options import Address, parse_address
 from cactusshed.platform.announcements import decode_announcement, read_start_time
 from cactusshed.platform.document import decode_move, decode_table
 from cactusshed.platform.headers import read_milliseconds, read_rate_limit
 from cactusshed.platform.rows import RowStore, StoredRow
+from cactusshed.store.acceptance import make_change_key, read_changes
 from cactusshed.store.claimrows import load_claim, load_outcome
-from cactusshed.store.port import Row
-from cactusshed.tree.snapshot import load_change, load_tree
+from cactusshed.store.claimwriter import ClaimWriter
+from cactusshed.store.client import PlatformClient
+from cactusshed.store.port import Row, Write
+from cactusshed.tree.branch import build_tree
+from cactusshed.tree.edit import Edit, make_change
+from cactusshed.tree.snapshot import dump_change, load_change, load_tree
 from standins.meshfleet import MeshFleet, make_document, wait_for
+from standins.ports import choose_port
+from standins.rowstore import open_row_store
 
+from .fakes import FakePort
 from .meshes import run_async
 
 ROUTES = {"/read/": {}}
@@ -315,3 +325,77 @@
     """A number of hundreds of digits ended the health checks of the target."""
     assert_that(read_milliseconds(text), Equals(None))
     read_rate_limit(text)
+
+
+@pytest.mark.parametrize("odd", [b"", DEEP, b"[]", b"\xff"])
+def test_odd_claim_row_fails_its_own_key_only(odd):
+    """A claim that could not be read ended the task that writes all claims."""
+
+    async def work():
+        port = FakePort()
+        port.store.commit([], [Write("k1", odd.decode(errors="surrogateescape"))])
+        claims = ClaimWriter(port, "n1", 10_000, Counters())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(claims.run)
+            deadline = read_monotonic() + 0.5
+            outcomes = await asyncio.gather(
+                *(claims.claim(key, key, "p", deadline) for key in ("k1", "k2")),
+                return_exceptions=True,
+            )
+            tasks.cancel_scope.cancel()
+        return outcomes
+
+    refused, claimed = run_async(work)
+    assert_that(refused, IsInstance(PlatformUnavailable))
+    assert_that(claimed.holder.nonce, Equals("k2"))
+
+
+def test_odd_seed_row_leaves_the_other_seeds():
+    """Bytes that are no text lost the whole scan in which they stood."""
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        store, listener = await open_row_store(address)
+        for key, value in (("seed/d/0", b"\xff"), ("seed/d/1", b'"10.0.0.1:80"')):
+            store.put("cactusshed", key, value)
+        client = PlatformClient(f"http://{address}", 1.0, Counters())
+        try:
+            return [parse_seed(r.value) for r in await client.scan("seed/", "", 9)]
+        finally:
+            await client.aclose()
+            listener.stop()
+
+    assert_that(run_async(work), Equals([None, Address("10.0.0.1", 80)]))
+
+
+def test_changes_out_of_order_are_refused():
+    """A row whose change had an earlier number was read again without end."""
+
+    async def work():
+        port = FakePort()
+        edits = [Edit("/*/*/s", {"version": "v1"})]
+        change, _ = make_change(build_tree(0, ()), "c", "a", 0.0, edits)
+        row = Write(make_change_key(2), dump_change(change).decode())
+        port.store.commit([], [row])
+        await read_changes(port, 1, 5)
+
+    with pytest.raises(Malformed):
+        run_async(work)
+
+
+@pytest.mark.parametrize("digits", [10, 400, 5000])
+def test_client_timeout_with_many_digits_is_the_timeout_of_the_route(digits):
+    """A number that is no float was answered 500."""
+
+    async def work():
+        fleet = await MeshFleet.open()
+        try:
+            fleet.store.put_json("op", "config", make_document(1, ROUTES, ["a"]))
+            (node,) = await fleet.start_connected("n1")
+            answer = await node.request("/read/x", x_deadline_ms="1" * digits)
+            return answer.status
+        finally:
+            await fleet.close()
+
+    status = run_async(work)
+    assert_that(status, Equals(200 if digits < 4000 else 431))
