A planned stop ends after its readers

Cause: a request counted as answered once its answer was given to the transport. What the transport still held was dropped with the process; of links between nodes it was awaited.

Both cases of `test_planned_stop_ends_after_slow_readers` fail on the commit before (4.5 of 8 MB at the end of the node).

A connection whose client still receives an answer is not closed as idle. A reader whose unsent bytes don't become fewer for a second is not waited for, nor are requests behind such an answer, which were never dispatched; the same holds for links to nodes that don't read.

--- a/cactusshed/mesh/bodyparts.py
+++ b/cactusshed/mesh/bodyparts.py
@@ -45,9 +45,9 @@
     _outgoing: deque[_Outgoing] = attrs.Factory(deque)
 
     @property
-    def is_busy(self) -> bool:
-        """Return whether parts are still to be sent."""
-        return bool(self._outgoing)
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the parts that are still to be sent."""
+        return sum(len(outgoing.body) - outgoing.sent for outgoing in self._outgoing)
 
     def send(self, frame: Call | Result) -> None:
         """Send a frame without its body, and the body as the link allows."""
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -10,6 +10,7 @@
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
 from .responses import encode_response
+from .sockets import count_unsent_bytes
 from .upstream import Headers
 
 if TYPE_CHECKING:
@@ -59,6 +60,18 @@
         """Return whether a request is being served or waits for another one."""
         return self._pipeline.is_busy
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether a request is being served or read.
+
+        Requests that wait for a client that does not read count only once it does.
+        """
+        return self._pipeline.has_work or self.has_pending_input
+
+    def count_unsent_bytes(self) -> int:
+        """Return the bytes of responses that the client has not received."""
+        return count_unsent_bytes(self._transport)
+
     @property
     def has_partial_request(self) -> bool:
         """Return whether part of a request has arrived."""
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -104,12 +104,11 @@
             self._frames.close()
             self._on_lost(self)
 
-    @property
-    def has_unsent(self) -> bool:
-        """Return whether frames or parts of bodies are still to be sent."""
+    def count_unsent_bytes(self) -> int:
+        """Return the bytes of frames and parts of bodies that are still to be sent."""
         if self.is_closed:
-            return False
-        return self._parts.is_busy or self._transport.get_write_buffer_size() > 0
+            return 0
+        return self._parts.unsent_bytes + self._transport.get_write_buffer_size()
 
     def send(self, frame: Frame) -> bool:
         """Send a frame; return False if the connection has ended."""
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 listening sockets and the timeouts of their connections."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from ..policy.bodybudget import BodyBudget
 from .connection import Connection
@@ -59,17 +59,29 @@
                 _check_timeouts(connection, now, limits)
 
     def close_idle(self, min_idle: float = 0.0) -> None:
-        """Close the connections that have been idle for at least `min_idle` seconds."""
+        """Close the connections that have been idle for at least `min_idle` seconds.
+
+        A connection is not idle while its client still receives a response.
+        """
         now = self.loop.time()
         for connection in list(self.connections):
             if connection.is_busy or connection.has_pending_input:
                 continue
+            if connection.count_unsent_bytes():
+                continue
             if now - connection.idle_since >= min_idle:
                 connection.close_if_idle()
 
     def count_busy(self) -> int:
         """Return the number of connections with a request being served or read."""
-        return sum(c.is_busy or c.has_pending_input for c in self.connections)
+        return sum(connection.has_work for connection in self.connections)
+
+    def list_unsent(self) -> Iterator[tuple[Connection, int]]:
+        """Yield each connection whose client has not received all, and what is left."""
+        for connection in self.connections:
+            size = connection.count_unsent_bytes()
+            if size:
+                yield connection, size
 
     def stop(self) -> None:
         """Stop accepting connections; open ones stay."""
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from ..clock import read_monotonic
 from ..observe.counters import Counters
@@ -252,9 +252,12 @@
             member.remembered = update.state
         member.is_leaving = update.is_leaving
 
-    def count_unsent(self) -> int:
-        """Return the number of links dialled by others with data still to send."""
-        return sum(link.has_unsent for link in self._accepted)
+    def list_unsent(self) -> Iterator[tuple[Link, int]]:
+        """Yield each link dialled by others with unsent data, and its bytes."""
+        for link in self._accepted:
+            size = link.count_unsent_bytes()
+            if size:
+                yield link, size
 
     def list_accepted(self) -> list[Link]:
         """Return the links that other nodes dialled."""
--- a/cactusshed/mesh/pipeline.py
+++ b/cactusshed/mesh/pipeline.py
@@ -59,6 +59,11 @@
         """Return whether a request is being served or waits."""
         return bool(self._dispatched or self._waiting)
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether a request is being served or is about to be."""
+        return bool(self._dispatched or (self._waiting and not self._is_held))
+
     @property
     def is_full(self) -> bool:
         """Return whether reading should pause."""
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -1,15 +1,21 @@
-"""Graceful shutdown of a node: drain its requests, then close its connections."""
+"""Graceful shutdown of a node: drain its requests, then close its connections.
+
+An answer counts as delivered once its reader has received it, not once it is written.
+"""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..clock import read_monotonic
 from ..observe.lines import log_line
-from ..policy.plannedstop import PlannedStop
+from ..policy.plannedstop import PlannedStop, ReaderProgress
 from .listener import Listener
 from .storesync import StoreSync
 
-__all__ = ["drain", "remove_row"]
+__all__ = ["await_readers", "drain", "remove_row"]
+
+ListUnsent = Callable[[], Iterable[tuple[object, int]]]
+"""Returns the connections that have not sent everything, and the bytes left."""
 
 STOP_MARGIN_SECONDS = 1.3
 """Time before SIGKILL that is reserved for the last answers and one call to the
@@ -35,6 +41,8 @@
     listener: Listener,
     stop: PlannedStop,
     count_remote: Callable[[], int],
+    list_unsent: ListUnsent,
+    progress: ReaderProgress,
     grace: float,
 ) -> None:
     """Drain running requests within `grace` seconds less `STOP_MARGIN_SECONDS`.
@@ -45,11 +53,13 @@
     listener.is_closing = True
     end = stop.answer_by = started + grace - STOP_MARGIN_SECONDS
     while read_monotonic() < end:
-        spent = read_monotonic() - started
+        now = read_monotonic()
+        spent = now - started
+        reading = progress.count_reading(list_unsent(), now)
         stop.is_closed = spent >= ACCEPT_SECONDS
         if spent >= UNREADY_NOTICE_SECONDS:
             listener.close_idle(MIN_IDLE_SECONDS)
-            if not listener.count_busy() and not count_remote():
+            if not (listener.count_busy() or count_remote() or reading):
                 break
         await asyncio.sleep(POLL_SECONDS)
     # What still arrives over open connections and links gets a refusal.
@@ -62,6 +72,19 @@
     listener.close_idle()
 
 
+async def await_readers(
+    list_unsent: ListUnsent, progress: ReaderProgress, killed_at: float
+) -> None:
+    """Wait for clients that still read, until the process must exit.
+
+    `killed_at` is the monotonic time of the SIGKILL.
+    """
+    while (now := read_monotonic()) < killed_at - EXIT_SECONDS:
+        if not progress.count_reading(list_unsent(), now):
+            return
+        await asyncio.sleep(POLL_SECONDS)
+
+
 async def remove_row(store_sync: StoreSync, killed_at: float) -> None:
     """Remove this node's row, if there is time before the SIGKILL at `killed_at`."""
     remaining = killed_at - EXIT_SECONDS - read_monotonic()
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -15,7 +15,7 @@
 from ..platform.rows import RowStore
 from ..policy.bodybudget import make_body_budgets
 from ..policy.gateretries import GateRetryBudget
-from ..policy.plannedstop import PlannedStop
+from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
@@ -37,7 +37,7 @@
 from .probes import ProbeHandler
 from .records import Records
 from .relay import Relay
-from .shutdown import drain, remove_row
+from .shutdown import await_readers, drain, remove_row
 from .storesync import StoreSync
 from .supervision import Task, keep_running
 from .table import EMPTY_TABLE
@@ -345,10 +345,6 @@
     def _count_refused(self, status: int) -> None:
         self.counters.add(f"refused_{status}")
 
-    def _count_remote(self) -> int:
-        """Return the number of other nodes' calls that run or are being answered."""
-        return self.inbound.running + self.peers.count_unsent()
-
     async def _shut_down(self, listener: Listener) -> None:
         """Announce the shutdown to peers and drain clients and running calls."""
         grace = self.settings.bounds.grace
@@ -356,6 +352,17 @@
         self.is_leaving = True
         log_line("leaving", running=self.gate.queue.running)
         self._broadcast_state()
-        await drain(listener, self.planned_stop, self._count_remote, grace)
+        progress = ReaderProgress()
+
+        def list_unsent() -> list[tuple[object, int]]:
+            return [*listener.list_unsent(), *self.peers.list_unsent()]
+
+        def count_remote() -> int:
+            return self.inbound.running
+
+        await drain(
+            listener, self.planned_stop, count_remote, list_unsent, progress, grace
+        )
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
+        await await_readers(list_unsent, progress, killed_at)
--- a/cactusshed/policy/plannedstop.py
+++ b/cactusshed/policy/plannedstop.py
@@ -1,12 +1,18 @@
-"""Which requests a node that shuts down still accepts.
+"""Which requests a node that shuts down still accepts, and whose reading it awaits.
 
 Load pattern: nodes are stopped in turn under full load, some at the same time, while
-clients and other nodes still use them.
+clients and other nodes still use them. Some clients read large answers slowly, and some
+have stopped reading.
 """
 
+from collections.abc import Hashable, Iterable
+
 import attrs
 
-__all__ = ["PlannedStop"]
+__all__ = ["PlannedStop", "ReaderProgress"]
+
+STALL_SECONDS = 1.0
+"""Time without progress after which a reader is taken to have stopped reading."""
 
 
 @attrs.define
@@ -22,3 +28,23 @@
     def accepts(self, deadline: float) -> bool:
         """Return whether a new request with this monotonic deadline is accepted."""
         return not self.is_closed and deadline <= self.answer_by
+
+
+@attrs.define
+class ReaderProgress:
+    """Tells readers of unsent data that make progress from those that don't."""
+
+    _seen: dict[Hashable, tuple[int, float]] = attrs.Factory(dict)
+    """Unsent bytes of each reader, and the time at which they last became fewer."""
+
+    def count_reading(self, unsent: Iterable[tuple[Hashable, int]], now: float) -> int:
+        """Return the number of readers in `unsent` that made progress lately.
+
+        `unsent` holds each reader that has not received everything, and its unsent
+        bytes.
+        """
+        before, self._seen = self._seen, {}
+        for reader, size in unsent:
+            known_size, since = before.get(reader, (size, now))
+            self._seen[reader] = (size, now if size < known_size else since)
+        return sum(now - since < STALL_SECONDS for _, since in self._seen.values())
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -34,6 +34,7 @@
     """
 
     instance: str = "i-1"
+    body: bytes = b"done"
     work_seconds: float = 0.0
     cold_ms: int | None = None
     rate_limit: str = ""
@@ -167,7 +168,7 @@
         if action == "stale":
             self._write_stale_refusal(writer)
         status = 500 if action == "fail" else 200
-        self._write(writer, status, headers, b"done", sealed=action != "unsealed")
+        self._write(writer, status, headers, self.body, sealed=action != "unsealed")
         if action == "extra":
             self._write(writer, status, headers, b"again")
         return True
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,12 +1,16 @@
-"""Planned stops of several nodes that overlap: no call is cut off."""
+"""Planned stops: overlapping ones cut off no call, and answers are read to the end."""
 
 import asyncio
+import socket
+import time
 from contextlib import asynccontextmanager
 
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
-from standins.meshfleet import MeshFleet, make_document, wait_for
+from cactusshed.policy.plannedstop import STALL_SECONDS, ReaderProgress
+from standins.meshfleet import MeshFleet, make_document, render_request, wait_for
 
 from .meshes import run_async
 
@@ -88,3 +92,95 @@
     statuses, cut_off = run_async(work)
     assert_that(len(statuses), GreaterThan(40))
     assert_that((set(statuses), cut_off), Equals(({200}, 0)))
+
+
+ANSWER_BYTES = 8_000_000
+READ_BYTES_PER_SECOND = 2_000_000
+CLIENT_BUFFER_BYTES = 500_000
+"""Bytes that a client has received but not read."""
+STOP_SECONDS = 2.6
+"""Time that a planned stop takes without slow readers: notice and last answers."""
+GRACE_SECONDS = 6.0
+
+
+async def open_reader(node, path):
+    """Send a request over a connection with small buffers; return its streams."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    sock.setblocking(False)
+    address = node.settings.callers
+    await asyncio.get_running_loop().sock_connect(sock, (address.ip, address.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=65_536)
+    writer.write(render_request(b"GET", path, {"x_deadline_ms": "900"}))
+    return reader, writer
+
+
+async def read_slowly(node, sizes, number):
+    """Add the bytes of an answer to `sizes[number]` as a slow client gets them."""
+    reader, writer = await open_reader(node, "/read/x")
+    while part := await reader.read(READ_BYTES_PER_SECOND // 50):
+        sizes[number] += len(part)
+        if sizes[number] > ANSWER_BYTES:
+            break
+        await asyncio.sleep(len(part) / READ_BYTES_PER_SECOND)
+    writer.close()
+
+
+@pytest.mark.parametrize("reaches_target_through", ["n1", "n2"])
+def test_planned_stop_ends_after_slow_readers(reaches_target_through):
+    """A stop ended once its answers were written, and cut those still being read.
+
+    Half of the cases have the target beside another node.
+    """
+
+    async def work():
+        async with open_stopping_fleet() as (fleet, first, other):
+            node = other if reaches_target_through == "n1" else first
+            for target in (n.target for n in fleet.nodes):
+                target.body = b"x" * ANSWER_BYTES
+            sizes = [0, 0, 0]
+            readers = [
+                asyncio.create_task(read_slowly(node, sizes, number))
+                for number in range(len(sizes))
+            ]
+            await asyncio.sleep(WORK_SECONDS + 0.2)
+            started = time.monotonic()
+            await node.shut_down()
+            # The process would end now.
+            seconds, received = time.monotonic() - started, min(sizes)
+            for reader in readers:
+                reader.cancel()
+            return received, seconds
+
+    received, seconds = run_async(work)
+    assert_that(received, GreaterThan(ANSWER_BYTES - CLIENT_BUFFER_BYTES))
+    assert_that(seconds, LessThan(GRACE_SECONDS))
+
+
+def test_reader_that_has_stopped_does_not_hold_a_planned_stop():
+    """A client that never reads its answer must not keep the node to its end."""
+
+    async def work():
+        async with open_stopping_fleet() as (fleet, _, node):
+            for target in (n.target for n in fleet.nodes):
+                target.body = b"x" * ANSWER_BYTES
+            _, writer = await open_reader(node, "/read/x")
+            writer.transport.pause_reading()
+            await asyncio.sleep(WORK_SECONDS + 0.2)
+            started = time.monotonic()
+            await node.shut_down()
+            writer.transport.abort()
+            return time.monotonic() - started
+
+    assert_that(run_async(work), LessThan(STOP_SECONDS + STALL_SECONDS))
+
+
+def test_reader_counts_while_its_unsent_bytes_become_fewer():
+    """New frames on a link whose node is frozen are no progress."""
+    progress = ReaderProgress()
+    counts = [
+        progress.count_reading([("slow", 900 - n), ("frozen", 100 + n)], n * 0.3)
+        for n in range(6)
+    ]
+    assert_that(counts, Equals([2, 2, 2, 2, 1, 1]))
+    assert_that(progress.count_reading([], 9.0), Equals(0))
