Other nodes use the target of a stopping node while its gate accepts calls

What callers saw: nothing lost, but more refusals where stops overlap. Since nodes that start know of stops in progress, the targets of all stopping nodes were idle for the whole of each stop.

Why this works: a stopping node accepts calls of other nodes for 1.3 s, in which they end before clients have noticed the stop, and tells them how long. It refuses later ones, which have not run.

--- a/cactusshed/mesh/candidates.py
+++ b/cactusshed/mesh/candidates.py
@@ -39,9 +39,10 @@
             yield local, None
 
     def _list_members(self, service: str, version: str) -> Iterator[Member]:
+        now = read_monotonic()
         for member in self.peers.list_connected(service):
             state = member.state
-            if not state.is_open or member.is_leaving:
+            if not state.is_open or now >= member.accepts_until:
                 continue
             if self.is_evacuated(member.data_centre):
                 continue
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -77,6 +77,8 @@
     """Whether the sender accepts bodies in parts; earlier builds do not."""
     is_leaving: bool = False
     """Whether the sender is shutting down; earlier builds do not say so."""
+    accepts_ms: Count = 0
+    """Time for which a sender that is shutting down still accepts calls."""
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
@@ -173,6 +175,8 @@
 
     state: TargetState
     is_leaving: bool
+    accepts_ms: Count = 0
+    """As in `Hello`."""
 
 
 class ReaderHeartbeat(msgspec.Struct, array_like=True, tag=7):
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -60,7 +60,8 @@
     def handle(self, link: Link, frame: Frame) -> None:
         """Handle one frame."""
         if isinstance(frame, Call):
-            if not self.stop.accepts(read_monotonic() + frame.remaining_ms / 1000):
+            now = read_monotonic()
+            if not self.stop.accepts_remote(now + frame.remaining_ms / 1000, now):
                 self._refuse(link, frame, "leaving")
             elif frame.body_size and not frame.body:
                 self._start_body(link, frame)
--- a/cactusshed/mesh/member.py
+++ b/cactusshed/mesh/member.py
@@ -12,6 +12,9 @@
 
 __all__ = ["Member"]
 
+CALL_MARGIN_SECONDS = 0.1
+"""Time for a call to reach a node before that node refuses calls."""
+
 
 @attrs.define(eq=False)
 class Member:
@@ -31,6 +34,8 @@
     """Version of the node's configuration."""
     link_mbps: float = 0.0
     is_leaving: bool = False
+    accepts_until: float = float("inf")
+    """Monotonic time until which the node accepts calls."""
     link: Link | None = None
     is_up: bool = False
     """Whether the link is open and the node has answered with its `Hello`."""
@@ -39,3 +44,11 @@
     hello_received: asyncio.Event = attrs.Factory(asyncio.Event)
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
     """Ends the wait before the next dial, or the wait for the link to close."""
+
+    def note_leaving(self, *, is_leaving: bool, accepts_ms: int) -> None:
+        """Record whether the node is shutting down, and how long it accepts calls."""
+        self.is_leaving = is_leaving
+        self.accepts_until = float("inf")
+        if is_leaving:
+            seconds = accepts_ms / 1000 - CALL_MARGIN_SECONDS
+            self.accepts_until = read_monotonic() + seconds
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -237,7 +237,7 @@
         member.data_centre = hello.data_centre
         member.service = hello.service
         member.state = hello.state
-        member.is_leaving = hello.is_leaving
+        member.note_leaving(is_leaving=hello.is_leaving, accepts_ms=hello.accepts_ms)
         if hello.state.name:
             member.remembered = hello.state
         member.link_mbps = hello.link_mbps
@@ -250,7 +250,7 @@
         member.state = update.state
         if update.state.name:
             member.remembered = update.state
-        member.is_leaving = update.is_leaving
+        member.note_leaving(is_leaving=update.is_leaving, accepts_ms=update.accepts_ms)
 
     def list_unsent(self) -> Iterator[tuple[Link, int]]:
         """Yield each link dialled by others with unsent data, and its bytes."""
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -12,7 +12,7 @@
 from .listener import Listener
 from .storesync import StoreSync
 
-__all__ = ["await_readers", "drain", "remove_row"]
+__all__ = ["STOP_MARGIN_SECONDS", "await_readers", "drain", "remove_row"]
 
 ListUnsent = Callable[[], Iterable[tuple[object, int]]]
 """Returns the connections that have not sent everything, and the bytes left."""
@@ -43,15 +43,14 @@
     count_remote: Callable[[], int],
     list_unsent: ListUnsent,
     progress: ReaderProgress,
-    grace: float,
 ) -> None:
-    """Drain running requests within `grace` seconds less `STOP_MARGIN_SECONDS`.
+    """Drain the running requests until `stop.answer_by` at the latest.
 
     `count_remote` returns the number of calls from other nodes that are unfinished.
     """
     started = read_monotonic()
     listener.is_closing = True
-    end = stop.answer_by = started + grace - STOP_MARGIN_SECONDS
+    end = stop.answer_by
     while read_monotonic() < end:
         now = read_monotonic()
         spent = now - started
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -37,7 +37,7 @@
 from .probes import ProbeHandler
 from .records import Records
 from .relay import Relay
-from .shutdown import await_readers, drain, remove_row
+from .shutdown import STOP_MARGIN_SECONDS, await_readers, drain, remove_row
 from .storesync import StoreSync
 from .supervision import Task, keep_running
 from .table import EMPTY_TABLE
@@ -138,6 +138,7 @@
             remembered=remembered,
             takes_parts=True,
             is_leaving=self.is_leaving,
+            accepts_ms=self.planned_stop.get_remote_ms(read_monotonic()),
         )
 
     def _add_member(self, node: str, address: str) -> None:
@@ -149,6 +150,7 @@
                 StateUpdate(
                     self.announcements.state,
                     self.is_leaving,
+                    self.planned_stop.get_remote_ms(read_monotonic()),
                 )
             )
 
@@ -347,8 +349,9 @@
 
     async def _shut_down(self, listener: Listener) -> None:
         """Announce the shutdown to peers and drain clients and running calls."""
-        grace = self.settings.bounds.grace
-        killed_at = read_monotonic() + grace
+        now = read_monotonic()
+        killed_at = now + self.settings.bounds.grace
+        self.planned_stop.begin(now, killed_at - STOP_MARGIN_SECONDS)
         self.is_leaving = True
         log_line("leaving", running=self.gate.queue.running)
         self._broadcast_state()
@@ -360,9 +363,7 @@
         def count_remote() -> int:
             return self.inbound.running
 
-        await drain(
-            listener, self.planned_stop, count_remote, list_unsent, progress, grace
-        )
+        await drain(listener, self.planned_stop, count_remote, list_unsent, progress)
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
         await await_readers(list_unsent, progress, killed_at)
--- a/cactusshed/policy/plannedstop.py
+++ b/cactusshed/policy/plannedstop.py
@@ -11,6 +11,9 @@
 
 __all__ = ["PlannedStop", "ReaderProgress"]
 
+REMOTE_SECONDS = 1.3
+"""Time after the start of a shutdown for which calls of other nodes are accepted. They
+end before clients have noticed the shutdown, so they don't prolong it."""
 STALL_SECONDS = 1.0
 """Time without progress after which a reader is taken to have stopped reading."""
 
@@ -22,13 +25,33 @@
     answer_by: float = float("inf")
     """Monotonic time of the last answers; a request whose deadline is later is refused,
     since its answer might be cut off."""
+    remote_until: float = float("inf")
+    """Monotonic time until which calls of other nodes are accepted."""
     is_closed: bool = False
     """Whether no further request is accepted."""
 
+    def begin(self, now: float, answer_by: float) -> None:
+        """Begin the shutdown."""
+        self.answer_by = answer_by
+        self.remote_until = now + REMOTE_SECONDS
+
     def accepts(self, deadline: float) -> bool:
-        """Return whether a new request with this monotonic deadline is accepted."""
+        """Return whether a client's request with this deadline is accepted."""
         return not self.is_closed and deadline <= self.answer_by
 
+    def accepts_remote(self, deadline: float, now: float) -> bool:
+        """Return whether another node's call with this deadline is accepted."""
+        return now < self.remote_until and self.accepts(deadline)
+
+    def get_remote_ms(self, now: float) -> int:
+        """Return for how many milliseconds other nodes may send calls."""
+        return max(0, int((self.remote_until - now) * 1000)) if self.is_begun else 0
+
+    @property
+    def is_begun(self) -> bool:
+        """Return whether the shutdown has begun."""
+        return self.remote_until < float("inf")
+
 
 @attrs.define
 class ReaderProgress:
