Offers of another protocol are ignored and keep the body of their request

Cause: httptools skips the body of a request with an offer and reports the request as complete; the end of its head was found to be an offer only after it was dispatched.

Why this works: a head with an offer is not acted on. `RequestParser` encodes it again without the offer and what `connection` names, and parses it with the rest of the data, as a server that does not switch has to. CONNECT and other codings are refused before anything is dispatched; an answer in such a coding is one that can't be read.

--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -7,6 +7,7 @@
 
 from ..observe.lines import log_line
 from ..policy.bodybudget import RETRY_SECONDS
+from ..requestparser import RequestParser, has_unknown_coding
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
 from .responses import encode_response
@@ -29,7 +30,10 @@
     def __init__(self, listener: "Listener") -> None:
         """Create a connection that serves requests for `listener`."""
         self._listener = listener
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(
+            lambda: httptools.HttpRequestParser(self),
+            lambda: (self._url, self._headers),
+        )
         self._transport: asyncio.Transport | None = None
         self._pipeline = Pipeline(
             listener.serve,
@@ -115,8 +119,6 @@
             self.head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
         except httptools.HttpParserError:
             self._refuse(self._refusal_status or 400)
         else:
@@ -144,7 +146,11 @@
 
     def on_headers_complete(self) -> None:
         """Check the head against the limits before the body arrives."""
+        if self._parser.has_offer:
+            return
         self._in_body = True
+        if has_unknown_coding(self._headers):
+            self._reject(501)
         limits = self._listener.limits()
         size = len(self._url) + sum(len(k) + len(v) + 4 for k, v in self._headers)
         if size > limits.header_bytes:
@@ -197,6 +203,8 @@
 
     def on_message_complete(self) -> None:
         """Hand the complete request to the pipeline."""
+        if self._parser.has_offer:
+            return
         request = Request(
             self._parser.get_method(),
             self._url,
--- a/cactusshed/mesh/responses.py
+++ b/cactusshed/mesh/responses.py
@@ -14,6 +14,7 @@
     421: "Misdirected Request",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
+    501: "Not Implemented",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -13,6 +13,7 @@
 from ..errors import CactusError
 from ..options import Address
 from ..policy.bodybudget import BodyBudget
+from ..requestparser import has_unknown_coding
 from .answermeter import MAX_ANSWER_BYTES, AnswerMeter, TooManyBytes
 
 __all__ = [
@@ -180,6 +181,8 @@
         self._has_head = status >= FIRST_FINAL_STATUS
         if not self._has_head:
             self._meter.add_interim()
+        elif has_unknown_coding(self._headers):
+            raise ValueError("transfer coding is not supported")
         elif self._is_head:
             self._complete(keep_alive=False)
 
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -5,9 +5,12 @@
 import socket
 
 import anyio
+import httptools
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..options import Address
+from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
 
 __all__ = ["Listener", "open_socket"]
@@ -17,6 +20,30 @@
 MAX_CONTROL_CONNECTIONS = 200
 
 
+class _Protocol(HttpToolsProtocol):
+    """Ignores offers of another protocol; refuses a body in a coding besides chunks."""
+
+    def __init__(self, *args, **kwargs) -> None:
+        """Replace the parser of uvicorn's protocol."""
+        super().__init__(*args, **kwargs)
+        self.parser = RequestParser(
+            lambda: httptools.HttpRequestParser(self), lambda: (self.url, self.headers)
+        )
+
+    def on_headers_complete(self) -> None:
+        """Start the request, unless its head is parsed again."""
+        if self.parser.has_offer:
+            return
+        if has_unknown_coding(self.headers):
+            raise ValueError("transfer coding is not supported")
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """End the request, unless it is parsed again."""
+        if not self.parser.has_offer:
+            super().on_message_complete()
+
+
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the process."""
 
@@ -63,7 +90,7 @@
             }
         config = uvicorn.Config(
             app,
-            http="httptools",
+            http=_Protocol,
             loop="asyncio",
             ws="none",
             lifespan="off",
--- a/tests/test_listener_mesh.py
+++ b/tests/test_listener_mesh.py
@@ -126,3 +126,47 @@
             return len(cancelled)
 
     assert_that(run_async(run), Equals(1))
+
+
+OFFER = (
+    b"connection: Upgrade, HTTP2-Settings, keep-alive\r\n"
+    b"upgrade: h2c\r\nhttp2-settings: AAMAAABk\r\n"
+)
+SUBMISSION = b"POST /s HTTP/1.1\r\nhost: a\r\n%s%s\r\n%s"
+CODED = b"transfer-encoding: gzip, chunked\r\n"
+LAST = b"GET /last HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+@pytest.mark.parametrize("offer", [OFFER, OFFER.replace(b"h2c", b"websocket")])
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [
+        (b"content-length: 4\r\n", b"text"),
+        (b"transfer-encoding: chunked\r\n", b"2\r\nte\r\n2\r\nxt\r\n0\r\n\r\n"),
+    ],
+)
+def test_offer_of_another_protocol_is_ignored(framing, body, offer, size):
+    """The parser skipped the body, and the request ran with an empty one."""
+    data = SUBMISSION % (offer, framing, body) + LAST
+    parts = [data[start : start + size] for start in range(0, len(data), size)]
+    answer, served = send(parts)
+    expected = [(b"POST", b"/s", b"text"), (b"GET", b"/last", b"")]
+    assert_that((served, answer.count(b"HTTP/1.1 200 ")), Equals((expected, 2)))
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\nrest", 400),
+        (
+            SUBMISSION % (b"transfer-encoding: gzip, chunked\r\n", b"", b"0\r\n\r\n"),
+            501,
+        ),
+    ],
+)
+def test_what_is_not_spoken_is_refused_before_it_is_dispatched(data, status):
+    """A tunnel, or a body in a coding that would be lost on the way."""
+    answer, served = send(data + LAST)
+    assert_that(answer, StartsWith(b"HTTP/1.1 %d " % status))
+    assert_that(served, Equals([]))
