A target's refusal of a request that has run reaches no caller

Cause: answers of targets were passed on with any status. Only those with `X-Not-Executed`, and 421, state that the request has not run.

Why this works: 408, 429 and 503 without that header make the outcome unknown: a safe request is tried at another target, and what is left gets a 502 without the target's seal, which promises nothing. The status is logged.

--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -25,6 +25,8 @@
 
 ANSWER_GRACE_SECONDS = 0.05
 """Time past a call's deadline for which a late refusal of the target is accepted."""
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
+"""Statuses by which callers are promised that their request has not run."""
 MIN_FAILURE_STATUS = 500
 """Lowest status of an answer that counts as a failure."""
 
@@ -155,8 +157,14 @@
             result = self.refuse(call, "target-refused")
             result.reached_target = True
             return result
-        failed = answer.status >= MIN_FAILURE_STATUS
+        denies_run = answer.status in NOT_RUN_STATUSES
+        failed = denies_run or answer.status >= MIN_FAILURE_STATUS
         self._record_answer(call, started, failed=failed)
+        if denies_run:
+            # The target ran the request, so its status would be a false promise.
+            self.counters.add("answers_denying_run")
+            log_line("status-withheld", request=call.request_id, status=answer.status)
+            return self._make_unknown(call, "status-withheld")
         is_success = 200 <= answer.status < 300
         if is_success and answer.find(header_names.SEAL) is None:
             self.counters.add("answers_unsealed")
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -27,10 +27,10 @@
     answer), `foreign` (first send an answer for another attempt), `stale` (first send
     a refusal without an id, as if of an earlier request), `stale-early` (send it when
     the request arrives), `shed` (refuse with 503 without running), `fail` (answer
-    500), `hang` (do not answer for an hour), `unframed` (omit the content length),
-    `unframed-reset` (also reset the connection in the middle), `mute` (answer neither
-    this request, which is not run, nor any later one of the connection), and those of
-    `endless`.
+    500, or with `fail-503` for example that status, after the run), `hang` (do not
+    answer for an hour), `unframed` (omit the content length), `unframed-reset` (also
+    reset the connection in the middle), `mute` (answer neither this request, which is
+    not run, nor any later one of the connection), and those of `endless`.
     """
 
     instance: str = "i-1"
@@ -167,7 +167,8 @@
             self._write(writer, 200, other_headers, b"foreign")
         if action == "stale":
             self._write_stale_refusal(writer)
-        status = 500 if action == "fail" else 200
+        failure, _, number = action.partition("-")
+        status = int(number or 500) if failure == "fail" else 200
         self._write(writer, status, headers, self.body, sealed=action != "unsealed")
         if action == "extra":
             self._write(writer, status, headers, b"again")
--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -217,6 +217,19 @@
     assert_that(run_async(work), Equals((b"i-1", False)))
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_that_denies_the_run_is_withheld_after_a_run(status):
+    """The caller was promised that its request had not run, and sent it again."""
+
+    async def run():
+        async with open_gate() as opened:
+            opened.target.script["/a/"] = f"fail-{status}"
+            result = await opened.gate.run(make_call(is_idempotent=False))
+            return result.outcome, result.code, opened.target.runs.total()
+
+    assert_that(run_async(run), Equals((UNKNOWN, "status-withheld", 1)))
+
+
 def test_target_that_declined_has_not_run_the_request():
     """A refusal by the target is reported as not run, but as having reached it."""
     result, opened = run_one("shed")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -585,3 +585,23 @@
     endings = run_async(work)
     assert_that(set(endings), Equals({200, "refused"}))
     assert_that(endings.count(200), GreaterThan(3))
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "status"), [("/write/x", b"POST", 502), ("/read/x", b"GET", 200)]
+)
+def test_refusal_after_a_run_reaches_no_caller(path, method, status):
+    """A submission that has run is not said to be free; a read is tried elsewhere."""
+
+    async def work():
+        async with open_fleet("n1", "n2") as (_, nodes):
+            nodes[0].target.script[path] = "fail-503"
+            nodes[1].sidecar.gate.queue.limit = 4
+            answers = [await nodes[0].request(path, method) for _ in range(12)]
+            failed = [answer for answer in answers if answer.status != 200]
+            is_sealed = [bool(answer.find(b"x-response-seal")) for answer in failed]
+            return {answer.status for answer in answers}, any(is_sealed)
+
+    statuses, has_sealed_failure = run_async(work)
+    assert_that(statuses <= {200, status}, Equals(True))
+    assert_that(has_sealed_failure, Equals(False))
