The product's daemon, too, ends a planned stop after its readers

A caller that reads a large answer slowly was cut off two seconds after the last answer was written, however much of `drain-limit` was left.

Evidence: `test_product_listener_ends_after_its_slow_readers`; the listener was stopped after two seconds whoever was reading.

Why this works: as in `mesh/`, unsent bytes that become fewer are awaited up to the limit, and a reader that has stopped is not.

--- a/cactusshed/drain.py
+++ b/cactusshed/drain.py
@@ -1,11 +1,14 @@
 """Shutdown helpers: wait for running calls to end, then stop listeners."""
 
 from collections.abc import Callable
+from itertools import chain
 
 import anyio
 
+from .clock import read_monotonic
 from .observe.counters import Counters
 from .observe.events import log_event
+from .policy.plannedstop import ReaderProgress
 from .serve.listener import Listener
 
 __all__ = ["STOP_SECONDS", "stop_listeners", "wait_idle"]
@@ -28,10 +31,21 @@
         log_event("drain-limit", left=remaining)
 
 
-async def stop_listeners(listeners: list[Listener]) -> None:
-    """Stop all listeners; wait up to `STOP_SECONDS` for connections to close."""
+async def stop_listeners(listeners: list[Listener], limit: float) -> None:
+    """Stop all listeners, and wait for their connections to close.
+
+    Waits up to `limit` seconds for callers that still read, and `STOP_SECONDS` more.
+    """
     for listener in listeners:
         listener.stop()
-    with anyio.move_on_after(STOP_SECONDS):
-        for listener in listeners:
-            await listener.ended.wait()
+    progress = ReaderProgress()
+    now = last_reading = read_monotonic()
+    end = now + limit
+    while now < last_reading + STOP_SECONDS:
+        if all(listener.ended.is_set() for listener in listeners):
+            return
+        unsent = chain.from_iterable(item.list_unsent() for item in listeners)
+        if progress.count_reading(unsent, now) and now < end:
+            last_reading = now
+        await anyio.sleep(POLL_SECONDS)
+        now = read_monotonic()
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -8,10 +8,10 @@
 from ..observe.lines import log_line
 from ..policy.bodybudget import RETRY_SECONDS
 from ..requestparser import RequestParser, has_unknown_coding
+from ..sockets import count_unsent_bytes
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
 from .responses import encode_response
-from .sockets import count_unsent_bytes
 from .upstream import Headers
 
 if TYPE_CHECKING:
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -303,12 +303,12 @@
         log_event("leaving", running=self._count_busy())
         self._gossip.send_pending()
         grace, limit = self.settings.drain_grace, self.settings.drain_limit
-        self._caller_app.answer_by = read_monotonic() + grace + limit
+        end = self._caller_app.answer_by = read_monotonic() + grace + limit
         # Responses carry `connection: close`, so that callers switch nodes in time.
         await anyio.sleep(grace)
         await wait_idle(self._count_busy, limit, self.counters)
         self._caller_app.answer_by = read_monotonic() + STOP_SECONDS
-        await stop_listeners(listeners)
+        await stop_listeners(listeners, max(0.0, end - read_monotonic()))
 
     def _count_busy(self) -> int:
         return self._caller_app.running + self._peer_app.running
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import socket
+from collections.abc import Hashable, Iterator
 
 import anyio
 import httptools
@@ -12,6 +13,7 @@
 from ..options import Address
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
+from ..sockets import count_unsent_bytes
 
 __all__ = ["Listener", "open_socket"]
 
@@ -112,6 +114,13 @@
         await self._server.serve(sockets=[self._socket])
         self.ended.set()
 
+    def list_unsent(self) -> Iterator[tuple[Hashable, int]]:
+        """Yield each connection with data that is still to be sent, and its bytes."""
+        for protocol in self._server.server_state.connections:
+            size = count_unsent_bytes(protocol.transport)
+            if size:
+                yield protocol, size
+
     def stop(self) -> None:
         """Stop accepting connections, and end `run` after the running requests."""
         self._server.should_exit = True
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,10 +9,17 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from cactusshed.drain import STOP_SECONDS as STOP_LISTENERS_SECONDS
+from cactusshed.drain import stop_listeners
+from cactusshed.options import Address
 from cactusshed.policy.plannedstop import REMOTE_SECONDS, STALL_SECONDS, ReaderProgress
+from cactusshed.serve.listener import Listener
+from cactusshed.settings import parse_settings
 from standins.meshfleet import MeshFleet, make_document, render_request, wait_for
+from standins.ports import choose_port
 
 from .meshes import run_async
+from .test_settings import GOOD
 
 ROUTES = {"/read/": {}, "/write/": {"kind": "unsafe"}}
 WORK_SECONDS = 0.3
@@ -109,14 +116,18 @@
 GRACE_SECONDS = 6.0
 
 
-async def open_reader(node, path):
-    """Send a request over a connection with small buffers; return its streams."""
+async def open_stream(address):
+    """Open a connection with small buffers; return its streams."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
     sock.setblocking(False)
-    address = node.settings.callers
     await asyncio.get_running_loop().sock_connect(sock, (address.ip, address.port))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=65_536)
+    return await asyncio.open_connection(sock=sock, limit=65_536)
+
+
+async def open_reader(node, path):
+    """Send a request over such a connection; return its streams."""
+    reader, writer = await open_stream(node.settings.callers)
     writer.write(render_request(b"GET", path, {"x_deadline_ms": "900"}))
     return reader, writer
 
@@ -190,3 +201,41 @@
     ]
     assert_that(counts, Equals([2, 2, 2, 2, 1, 1]))
     assert_that(progress.count_reading([], 9.0), Equals(0))
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_product_listener_ends_after_its_slow_readers(reads):
+    """The product's own listener waited two seconds, whoever was still reading.
+
+    A caller that has stopped reading does not hold it longer.
+    """
+    size = 3 * ANSWER_BYTES
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"x" * size})
+
+    async def read(reader):
+        while reads and (part := await reader.read(READ_BYTES_PER_SECOND // 10)):
+            await asyncio.sleep(len(part) / (2 * READ_BYTES_PER_SECOND))
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        reader, writer = await open_stream(address)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        reading = asyncio.create_task(read(reader))
+        await asyncio.sleep(0.3)
+        started = time.monotonic()
+        await stop_listeners([listener], 10.0)
+        seconds, has_ended = time.monotonic() - started, listener.ended.is_set()
+        reading.cancel()
+        writer.transport.abort()
+        await running
+        return seconds, has_ended
+
+    seconds, has_ended = run_async(work)
+    assert_that(has_ended, Equals(reads))
+    longest = STOP_LISTENERS_SECONDS + STALL_SECONDS + 0.5
+    assert_that(seconds, LessThan(10.0 if reads else longest))
