--- a/cactusshed/drain.py
+++ b/cactusshed/drain.py
@@ -1,7 +1,6 @@
 """Shutdown helpers: wait for running calls to end, then stop listeners."""
 
 from collections.abc import Callable
-from itertools import chain
 
 import anyio
 
@@ -38,14 +37,13 @@
     """
     for listener in listeners:
         listener.stop()
-    progress = ReaderProgress()
+    readers = ReaderProgress([listener.list_unsent for listener in listeners])
     now = last_reading = read_monotonic()
     end = now + limit
     while now < last_reading + STOP_SECONDS:
         if all(listener.ended.is_set() for listener in listeners):
             return
-        unsent = chain.from_iterable(item.list_unsent() for item in listeners)
-        if progress.count_reading(unsent, now) and now < end:
+        if readers.count_reading(now) and now < end:
             last_reading = now
         await anyio.sleep(POLL_SECONDS)
         now = read_monotonic()
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -77,11 +77,8 @@
         return sum(connection.has_work for connection in self.connections)
 
     def list_unsent(self) -> Iterator[tuple[Connection, int]]:
-        """Yield each connection whose client has not received all, and what is left."""
-        for connection in self.connections:
-            size = connection.count_unsent_bytes()
-            if size:
-                yield connection, size
+        """Yield each connection, and the bytes that its client has not received."""
+        return ((c, c.count_unsent_bytes()) for c in self.connections)
 
     def stop(self) -> None:
         """Stop accepting connections; open ones stay."""
--- a/cactusshed/mesh/member.py
+++ b/cactusshed/mesh/member.py
@@ -45,7 +45,7 @@
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
     """Ends the wait before the next dial, or the wait for the link to close."""
 
-    def note_leaving(self, *, is_leaving: bool, accepts_ms: int) -> None:
+    def note_leaving(self, is_leaving: bool, accepts_ms: int) -> None:
         """Record whether the node is shutting down, and how long it accepts calls."""
         self.is_leaving = is_leaving
         self.accepts_until = float("inf")
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -237,7 +237,7 @@
         member.data_centre = hello.data_centre
         member.service = hello.service
         member.state = hello.state
-        member.note_leaving(is_leaving=hello.is_leaving, accepts_ms=hello.accepts_ms)
+        member.note_leaving(hello.is_leaving, hello.accepts_ms)
         if hello.state.name:
             member.remembered = hello.state
         member.link_mbps = hello.link_mbps
@@ -250,14 +250,11 @@
         member.state = update.state
         if update.state.name:
             member.remembered = update.state
-        member.note_leaving(is_leaving=update.is_leaving, accepts_ms=update.accepts_ms)
+        member.note_leaving(update.is_leaving, update.accepts_ms)
 
     def list_unsent(self) -> Iterator[tuple[Link, int]]:
-        """Yield each link dialled by others with unsent data, and its bytes."""
-        for link in self._accepted:
-            size = link.count_unsent_bytes()
-            if size:
-                yield link, size
+        """Yield each link dialled by others, and its unsent bytes."""
+        return ((link, link.count_unsent_bytes()) for link in self._accepted)
 
     def list_accepted(self) -> list[Link]:
         """Return the links that other nodes dialled."""
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -4,19 +4,16 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
 
 from ..clock import read_monotonic
 from ..observe.lines import log_line
 from ..policy.plannedstop import PlannedStop, ReaderProgress
+from .inbound import Inbound
 from .listener import Listener
 from .storesync import StoreSync
 
 __all__ = ["STOP_MARGIN_SECONDS", "await_readers", "drain", "remove_row"]
 
-ListUnsent = Callable[[], Iterable[tuple[object, int]]]
-"""Returns the connections that have not sent everything, and the bytes left."""
-
 STOP_MARGIN_SECONDS = 1.3
 """Time before SIGKILL that is reserved for the last answers and one call to the
 store."""
@@ -38,27 +35,20 @@
 
 
 async def drain(
-    listener: Listener,
-    stop: PlannedStop,
-    count_remote: Callable[[], int],
-    list_unsent: ListUnsent,
-    progress: ReaderProgress,
+    listener: Listener, inbound: Inbound, stop: PlannedStop, readers: ReaderProgress
 ) -> None:
-    """Drain the running requests until `stop.answer_by` at the latest.
-
-    `count_remote` returns the number of calls from other nodes that are unfinished.
-    """
+    """Drain the running requests until `stop.answer_by` at the latest."""
     started = read_monotonic()
     listener.is_closing = True
     end = stop.answer_by
     while read_monotonic() < end:
         now = read_monotonic()
         spent = now - started
-        reading = progress.count_reading(list_unsent(), now)
+        reading = readers.count_reading(now)
         stop.is_closed = spent >= ACCEPT_SECONDS
         if spent >= UNREADY_NOTICE_SECONDS:
             listener.close_idle(MIN_IDLE_SECONDS)
-            if not (listener.count_busy() or count_remote() or reading):
+            if not (listener.count_busy() or inbound.running or reading):
                 break
         await asyncio.sleep(POLL_SECONDS)
     # What still arrives over open connections and links gets a refusal.
@@ -71,15 +61,13 @@
     listener.close_idle()
 
 
-async def await_readers(
-    list_unsent: ListUnsent, progress: ReaderProgress, killed_at: float
-) -> None:
+async def await_readers(readers: ReaderProgress, killed_at: float) -> None:
     """Wait for clients that still read, until the process must exit.
 
     `killed_at` is the monotonic time of the SIGKILL.
     """
     while (now := read_monotonic()) < killed_at - EXIT_SECONDS:
-        if not progress.count_reading(list_unsent(), now):
+        if not readers.count_reading(now):
             return
         await asyncio.sleep(POLL_SECONDS)
 
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -355,15 +355,8 @@
         self.is_leaving = True
         log_line("leaving", running=self.gate.queue.running)
         self._broadcast_state()
-        progress = ReaderProgress()
-
-        def list_unsent() -> list[tuple[object, int]]:
-            return [*listener.list_unsent(), *self.peers.list_unsent()]
-
-        def count_remote() -> int:
-            return self.inbound.running
-
-        await drain(listener, self.planned_stop, count_remote, list_unsent, progress)
+        readers = ReaderProgress((listener.list_unsent, self.peers.list_unsent))
+        await drain(listener, self.inbound, self.planned_stop, readers)
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
-        await await_readers(list_unsent, progress, killed_at)
+        await await_readers(readers, killed_at)
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import base64
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from urllib.parse import quote
 
 import attrs
@@ -19,9 +19,9 @@
 from ..mesh.pool import ConnectionPool
 from ..mesh.upstream import Answer, NotSent, UpstreamFailed
 from ..observe.counters import Counters
-from ..observe.lines import log_line
 from ..options import Address
-from .fields import read_int, read_list, read_text
+from .fields import read_int, read_list
+from .storedrows import StoredRow, find_last_key, read_rows
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
 
@@ -29,7 +29,6 @@
 """Expected version of a row that must not exist."""
 CALL_TIMEOUT_SECONDS = 1.2
 """Time limit of a call: over twice the 0.5 s of a transaction in the slowest store."""
-MAX_CAUSE_CHARS = 200
 FEED_MARGIN_SECONDS = 0.6
 """Time for the feed's response beyond the requested wait."""
 
@@ -41,20 +40,6 @@
     status = 410
 
 
-@attrs.frozen
-class StoredRow:
-    """One row; `version` is the number of the transaction that wrote it.
-
-    The store numbers the transactions of all tables with one counter.
-    """
-
-    table: str
-    key: str
-    value: bytes
-    version: int
-    is_deleted: bool = False
-
-
 @attrs.frozen
 class Page:
     """Rows as of transaction `version` of the store."""
@@ -209,19 +194,10 @@
             raise HistoryGone("the store no longer has the history", step="follow rows")
         fields = _decode(answer, "read rows")
         entries = read_list(fields, "rows")
-        rows = list(self._read_entries(entries))
-        last_key = _find_last_key(entries) if fields.get("has_more") else ""
+        rows = list(read_rows(entries, self._counters))
+        last_key = find_last_key(entries) if fields.get("has_more") else ""
         return rows, last_key, read_int(fields, "ver")
 
-    def _read_entries(self, entries: list) -> Iterator[StoredRow]:
-        """Yield the rows that can be read; the others don't hold them up."""
-        for entry in entries:
-            try:
-                yield _read_row(entry)
-            except (Malformed, ValueError) as error:
-                self._counters.add("rows_refused")
-                log_line("row-refused", cause=str(error)[:MAX_CAUSE_CHARS])
-
     async def _call(
         self, method: bytes, target: str, body: bytes, timeout: float
     ) -> Answer:
@@ -286,24 +262,3 @@
     if not isinstance(fields, dict):
         raise Malformed("response is not an object", step=step)
     return fields
-
-
-def _find_last_key(entries: list) -> str:
-    """Return the key of the last row that has one, from which to continue."""
-    keys = (row.get("key") for row in reversed(entries) if isinstance(row, dict))
-    return next((key for key in keys if key and isinstance(key, str)), "")
-
-
-def _read_row(row: object) -> StoredRow:
-    """Return one row; raise `Malformed` or `ValueError`."""
-    table, key, version = (
-        read_text(row, "table"),
-        read_text(row, "key"),
-        read_int(row, "ver"),
-    )
-    if row.get("deleted"):
-        return StoredRow(table, key, b"", version, is_deleted=True)
-    value = row.get("value")
-    if not isinstance(value, str):
-        raise Malformed(f"value of row {key}: not a text", step="read rows")
-    return StoredRow(table, key, base64.b64decode(value, validate=True), version)
--- a/cactusshed/policy/plannedstop.py
+++ b/cactusshed/policy/plannedstop.py
@@ -5,7 +5,7 @@
 have stopped reading.
 """
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 
 import attrs
 
@@ -55,19 +55,22 @@
 
 @attrs.define
 class ReaderProgress:
-    """Tells readers of unsent data that make progress from those that don't."""
+    """Tells readers of unsent data that make progress from those that don't.
 
+    Each source returns its readers, and the bytes that each has not received.
+    """
+
+    sources: Iterable[Callable[[], Iterable[tuple[Hashable, int]]]]
     _seen: dict[Hashable, tuple[int, float]] = attrs.Factory(dict)
     """Unsent bytes of each reader, and the time at which they last became fewer."""
 
-    def count_reading(self, unsent: Iterable[tuple[Hashable, int]], now: float) -> int:
-        """Return the number of readers in `unsent` that made progress lately.
-
-        `unsent` holds each reader that has not received everything, and its unsent
-        bytes.
-        """
+    def count_reading(self, now: float) -> int:
+        """Return the number of readers that made progress lately."""
         before, self._seen = self._seen, {}
-        for reader, size in unsent:
-            known_size, since = before.get(reader, (size, now))
-            self._seen[reader] = (size, now if size < known_size else since)
+        for source in self.sources:
+            for reader, size in source():
+                if not size:
+                    continue
+                known_size, since = before.get(reader, (size, now))
+                self._seen[reader] = (size, now if size < known_size else since)
         return sum(now - since < STALL_SECONDS for _, since in self._seen.values())
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -115,11 +115,9 @@
         self.ended.set()
 
     def list_unsent(self) -> Iterator[tuple[Hashable, int]]:
-        """Yield each connection with data that is still to be sent, and its bytes."""
-        for protocol in self._server.server_state.connections:
-            size = count_unsent_bytes(protocol.transport)
-            if size:
-                yield protocol, size
+        """Yield each connection, and the bytes that its caller has not received."""
+        connections = self._server.server_state.connections
+        return ((c, count_unsent_bytes(c.transport)) for c in connections)
 
     def stop(self) -> None:
         """Stop accepting connections, and end `run` after the running requests."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -245,9 +245,8 @@
     """Find processes that exited without being stopped."""
     for node in observations.fleet.nodes:
         if node.unexpected_exits:
-            yield Violation(
-                "own-end", f"{node.name} exited {node.unexpected_exits} times"
-            )
+            text = f"{node.name} exited {node.unexpected_exits} times"
+            yield Violation("own-end", f"{text}, statuses {node.exit_statuses}")
 
 
 def _check_recovery(observations: Observations) -> Iterator[Violation]:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -73,6 +73,8 @@
     """Number of processes started so far; it identifies the current one."""
     unexpected_exits: int = 0
     """Number of times that the process exited without being stopped."""
+    exit_statuses: list[int] = attrs.Factory(list)
+    """Status of each such exit; a negative one is the number of a signal."""
 
     def start(self) -> None:
         """Write the boot settings and start the process."""
@@ -224,6 +226,7 @@
         while not await self.is_ready(node):
             if node.process.poll() is not None:
                 node.unexpected_exits += 1
+                node.exit_statuses.append(node.process.returncode)
                 node.start()
             await asyncio.sleep(0.05)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,7 @@
     def __init__(self, target, unexpected_exits):
         self.name = "n"
         self.unexpected_exits = unexpected_exits
+        self.exit_statuses = [1] * unexpected_exits
         self.target = target
         self.nodes = [self]
 
