A request that was given up as silent is tried beyond two refusals

What callers saw: during planned stops only, some reads got a 502 with 0.6 to 0.7 of 1 s left, while the target that they had been sent to was at work on them.

Cause: a gate with three requests that others overtook gives them up, so that the first node tries another target. After two refusals for lack of capacity no further gate is tried, and a gate with no retry left in its budget, such as one that has just started, counts as one. The call then failed by what its own system had given up.

`test_abandoned_request_is_tried_beyond_two_refusals` fails on the commit before.

--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -12,7 +12,7 @@
 from ..policy.placement import Candidate, LoadView, order_candidates
 from .callplan import CallPlan, DispatchState, Outcome
 from .candidates import Candidates
-from .exchange import MIN_FAILURE_STATUS
+from .exchange import MIN_FAILURE_STATUS, TARGET_SILENT
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
 from .gate import Gate
 from .link import LinkLost
@@ -205,7 +205,9 @@
     ) -> bool:
         """Record the result of an attempt; return whether it ends the call."""
         if result.outcome == NOT_RUN:
-            if result.code in _NO_CAPACITY and not candidate.start_rate:
+            is_full = result.code in _NO_CAPACITY and not candidate.start_rate
+            # A request that was given up for another target should find one.
+            if is_full and not _was_abandoned(state):
                 state.full_gates += 1
             self._record_refusal(plan, state, result)
             return state.arrivals >= plan.max_attempts
@@ -263,5 +265,10 @@
         )
 
 
+def _was_abandoned(state: DispatchState) -> bool:
+    """Return whether a gate gave up the wait for an answer that may still come."""
+    return state.failure is not None and state.failure.code == TARGET_SILENT
+
+
 def _has_exhausted_capacity(state: DispatchState) -> bool:
     return state.full_gates >= MAX_REFUSALS
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -21,10 +21,13 @@
 from .targetclient import exchange_call, filter_headers
 from .upstream import Answer, NotSent, Upstream, UpstreamFailed
 
-__all__ = ["MIN_FAILURE_STATUS", "TargetExchange"]
+__all__ = ["MIN_FAILURE_STATUS", "TARGET_SILENT", "TargetExchange"]
 
 ANSWER_GRACE_SECONDS = 0.05
 """Time past a call's deadline for which a late refusal of the target is accepted."""
+TARGET_SILENT = "target-silent"
+"""Code of a call whose answer is not awaited any longer, so that another target may be
+tried."""
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 """Statuses by which callers are promised that their request has not run."""
 MIN_FAILURE_STATUS = 500
@@ -115,13 +118,13 @@
             return self._make_unknown(call, "timeout")
         self.counters.add("answers_abandoned")
         log_line(
-            "target-silent",
+            TARGET_SILENT,
             request=call.request_id,
             instance=self.get_instance(),
             after_ms=int((now - started) * 1000),
             left_ms=int((deadline - now) * 1000),
         )
-        return self._make_unknown(call, "target-silent")
+        return self._make_unknown(call, TARGET_SILENT)
 
     def _handle_lost_answer(
         self, call: Call, error: UpstreamFailed, started: float
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -4,12 +4,19 @@
 import time
 
 import attrs
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from cactusshed.mesh.frames import ANSWERED, UNKNOWN
+from cactusshed.clock import read_monotonic
+from cactusshed.mesh.callplan import CallPlan
+from cactusshed.mesh.dispatch import Dispatcher
+from cactusshed.mesh.frames import ANSWERED, NOT_RUN, UNKNOWN, Load, Result
+from cactusshed.mesh.member import Member
 from cactusshed.mesh.targetclient import request_health
+from cactusshed.observe.counters import Counters
+from cactusshed.policy.placement import Candidate, LoadView
 from cactusshed.policy.silence import MIN_SILENT, SentRequest, SilenceDetector
 
 from .meshes import make_call, open_gate, run_async
@@ -149,3 +156,58 @@
     seconds, status = run_async(run)
     assert_that(seconds, LessThan(0.7))
     assert_that(status, Equals(200))
+
+
+@attrs.define
+class FakePeers:
+    """Other nodes that answer with the given results, in turn."""
+
+    results: list
+    counters: Counters = attrs.Factory(Counters)
+
+    async def call(self, _member, call):
+        """Return the next result."""
+        return self.results.pop(0)
+
+
+def dispatch(results):
+    """Dispatch a safe call to nodes that answer so; return its outcome."""
+
+    async def run():
+        async with open_gate() as opened:
+            nodes = [
+                (Candidate(f"n{n}", LoadView(), False, False), Member(f"n{n}", None))
+                for n in range(12)
+            ]
+            candidates = attrs.make_class("Candidates", [])()
+            type(candidates).list_open = lambda *_: iter(nodes)
+            dispatcher = Dispatcher(
+                candidates, FakePeers(results), opened.gate, Counters()
+            )
+            deadline = read_monotonic() + 1.0
+            plan = CallPlan(
+                make_call(), deadline, deadline, 2, lambda: "", lambda _version: ""
+            )
+            return (await dispatcher.run(plan)).result.outcome
+
+    return run_async(run)
+
+
+OVER_BUDGET = Result(1, NOT_RUN, Load(0, 0, 4, 1.0), code="over-budget")
+
+
+@pytest.mark.parametrize(
+    ("first", "outcome"),
+    [
+        # Its answer is awaited no longer, so another target has to be found.
+        (Result(1, UNKNOWN, Load(0, 0, 4, 1.0), code="target-silent"), ANSWERED),
+        # The second gate without room was already the next best choice.
+        (Result(1, UNKNOWN, Load(0, 0, 4, 1.0), code="answer-missing"), UNKNOWN),
+    ],
+)
+def test_abandoned_request_is_tried_beyond_two_refusals(first, outcome):
+    """Gates with no retry left made it a 502 while its first target was at work."""
+    first.reached_target = True
+    answer = Result(1, ANSWERED, Load(0, 0, 4, 1.0), 200, reached_target=True)
+    refusals = [msgspec.structs.replace(OVER_BUDGET) for _ in range(4)]
+    assert_that(dispatch([first, *refusals, answer]), Equals(outcome))
