--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -62,7 +62,7 @@
         if isinstance(frame, Call):
             now = read_monotonic()
             if not self.stop.accepts_remote(now + frame.remaining_ms / 1000, now):
-                self._refuse(link, frame, "leaving")
+                self._refuse(link, frame, "node-leaving")
             elif frame.body_size and not frame.body:
                 self._start_body(link, frame)
             else:
