The product's listener keeps uvicorn's leniency for data after the last request

The parser that ignores offers had replaced uvicorn's, which takes a line break behind a request that closes its connection for no error; with the plain one the answer to that request could be a 400.

--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -28,9 +28,13 @@
     def __init__(self, *args, **kwargs) -> None:
         """Replace the parser of uvicorn's protocol."""
         super().__init__(*args, **kwargs)
-        self.parser = RequestParser(
-            lambda: httptools.HttpRequestParser(self), lambda: (self.url, self.headers)
-        )
+        self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
+
+    def _make_parser(self) -> httptools.HttpRequestParser:
+        parser = httptools.HttpRequestParser(self)
+        # As uvicorn does: data after the last request is no error of that request.
+        parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        return parser
 
     def on_headers_complete(self) -> None:
         """Start the request, unless its head is parsed again."""
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -61,3 +61,10 @@
     answer, bodies = send(REQUEST % (CODED, b"2\r\nte\r\n0\r\n\r\n"))
     assert_that(answer, StartsWith(b"HTTP/1.1 400 "))
     assert_that(bodies, Equals([]))
+
+
+def test_data_after_the_last_request_does_not_replace_its_answer():
+    """A line break behind a request that closes the connection is no error."""
+    answer, bodies = send(REQUEST % (b"connection: close\r\n" + LENGTH, b"text\r\n"))
+    assert_that(answer, StartsWith(b"HTTP/1.1 200 "))
+    assert_that(bodies, Equals([b"text"]))
