--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -89,7 +89,7 @@
 
     remote: Node
     view: LoadView = attrs.Factory(LoadView)
-    is_leaving: bool = False
+    accepts_until: float = float("inf")
     start_time: int = 0
     link_mbps: float = LINK_MBPS
 
--- a/cactusshed/platform/fields.py
+++ b/cactusshed/fields.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from ..decoding import MAX_COUNT
-from ..errors import Malformed
-from ..options import Address, BadOption, parse_address
+from .decoding import MAX_COUNT
+from .errors import Malformed
+from .options import Address, BadOption, parse_address
 
 __all__ = [
     "check_address",
@@ -19,7 +19,7 @@
 ]
 
 MAX_TEXT_CHARS = 200
-"""Longest key that the platform's store accepts."""
+"""Longest key that the store accepts."""
 MAX_SECONDS = 1e9
 """Longest duration; far longer ones exceed the range of timers."""
 
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -10,9 +10,9 @@
 from ..clock import read_monotonic
 from ..decoding import decode_json
 from ..errors import AnswerLost, CactusError, ConditionFailed, Malformed
+from ..fields import check_address, check_text
 from ..observe.counters import Counters
 from ..observe.lines import log_line
-from ..platform.fields import check_address, check_text
 from ..platform.rowkeys import MEMBER_PREFIX, OPERATOR_TABLE, SYSTEM_TABLE
 from ..platform.rows import ABSENT, ConditionalPut, HistoryGone, RowStore, StoredRow
 from .frames import TargetState
--- a/cactusshed/platform/announcements.py
+++ b/cactusshed/platform/announcements.py
@@ -5,7 +5,7 @@
 from ..clock import read_wall
 from ..decoding import decode_json
 from ..errors import Malformed
-from .fields import check_text, read_address, read_int, read_seconds, read_text
+from ..fields import check_text, read_address, read_int, read_seconds, read_text
 
 __all__ = ["Announcement", "decode_announcement", "read_start_time", "read_call"]
 
--- a/cactusshed/platform/boot.py
+++ b/cactusshed/platform/boot.py
@@ -7,8 +7,7 @@
 
 from ..decoding import decode_json
 from ..errors import CactusError, InvalidSettings, Malformed
-from ..options import Address
-from .fields import (
+from ..fields import (
     read_address,
     read_int,
     read_number,
@@ -16,6 +15,7 @@
     read_table,
     read_text,
 )
+from ..options import Address
 
 __all__ = ["Bounds", "Settings", "find_settings_path", "load_settings"]
 
--- a/cactusshed/platform/document.py
+++ b/cactusshed/platform/document.py
@@ -6,8 +6,7 @@
 
 from ..decoding import decode_json
 from ..errors import Malformed
-from ..mesh.table import Limits, Route, Service, Table, WeightedService, build_table
-from .fields import (
+from ..fields import (
     read_int,
     read_list,
     read_number,
@@ -15,6 +14,7 @@
     read_table,
     read_text,
 )
+from ..mesh.table import Limits, Route, Service, Table, WeightedService, build_table
 
 __all__ = ["MoveOrder", "decode_move", "decode_table"]
 
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -16,11 +16,11 @@
     Malformed,
     PlatformUnavailable,
 )
+from ..fields import read_int, read_list
 from ..mesh.pool import ConnectionPool
 from ..mesh.upstream import Answer, NotSent, UpstreamFailed
 from ..observe.counters import Counters
 from ..options import Address
-from .fields import read_int, read_list
 from .storedrows import StoredRow, find_last_key, read_rows
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
--- a/cactusshed/platform/storedrows.py
+++ b/cactusshed/platform/storedrows.py
@@ -6,9 +6,9 @@
 import attrs
 
 from ..errors import Malformed
+from ..fields import read_int, read_text
 from ..observe.counters import Counters
 from ..observe.lines import log_line
-from .fields import read_int, read_text
 
 __all__ = ["StoredRow", "find_last_key", "read_rows"]
 
