--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -111,8 +111,8 @@
     Mutation(
         "a node that shuts down serves the requests that it has read",
         "mesh/shutdown.py",
-        "    while read_monotonic() < end:\n        spent",
-        "    while False:\n        spent",
+        "    while read_monotonic() < end:\n        now",
+        "    while False:\n        now",
         "lost",
         1,
         ("term",),
