Log lines tell apart why a node answered for a target at work

`call-failed` now names the refusals of the gates that were tried and whether the node was shutting down, `peer-lost` the calls that it cut off and whether the other node was known to be leaving, `peer-silent` whether a ping had been left unanswered, and `drained` what a stopping node still had at its end. No decision depends on them.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -194,6 +194,8 @@
             ran="no" if result.outcome == NOT_RUN else "unknown",
             arrivals=outcome.arrivals,
             target=outcome.target,
+            refusals=outcome.refusals,
+            leaving=self.stop.is_begun,
             version=self.records.table.version,
             left_ms=int((plan.deadline - read_monotonic()) * 1000),
         )
--- a/cactusshed/mesh/callplan.py
+++ b/cactusshed/mesh/callplan.py
@@ -35,6 +35,8 @@
     result: Result
     arrivals: int
     target: str
+    refusals: list[str] = attrs.Factory(list)
+    """Codes with which gates refused the call."""
 
 
 @attrs.define
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -68,8 +68,8 @@
                 continue
             result = await self._attempt(plan, state, *choice)
             if self._record_result(plan, state, result, choice[0]):
-                return Outcome(result, state.arrivals, state.last)
-        return Outcome(self._make_failure(plan, state), state.arrivals, state.last)
+                return _make_outcome(result, state)
+        return _make_outcome(self._make_failure(plan, state), state)
 
     def _fall_back(self, plan: CallPlan, state: DispatchState) -> bool:
         """Switch to the old version of a move; return whether that is allowed."""
@@ -265,6 +265,11 @@
         )
 
 
+def _make_outcome(result: Result, state: DispatchState) -> Outcome:
+    refusals = [refusal.code for refusal in state.refusals]
+    return Outcome(result, state.arrivals, state.last, refusals)
+
+
 def _was_abandoned(state: DispatchState) -> bool:
     """Return whether a gate gave up the wait for an answer that may still come."""
     return state.failure is not None and state.failure.code == TARGET_SILENT
--- a/cactusshed/mesh/member.py
+++ b/cactusshed/mesh/member.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..clock import read_monotonic
+from ..observe.lines import log_line
 from ..options import Address
 from ..policy.placement import LoadView
 from .frames import TargetState
@@ -52,3 +53,13 @@
         if is_leaving:
             seconds = accepts_ms / 1000 - CALL_MARGIN_SECONDS
             self.accepts_until = read_monotonic() + seconds
+
+    def log_loss(self, calls: int) -> None:
+        """Log that the link was lost, with the number of calls that it cut off."""
+        log_line(
+            "peer-lost",
+            member=self.node,
+            data_centre=self.data_centre,
+            calls=calls,
+            leaving=self.is_leaving,
+        )
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -177,11 +177,11 @@
     def _handle_link_lost(self, link: Link) -> None:
         self._accepted.discard(link)
         member = self._members_by_link.pop(link, None)
-        self.pending.fail(link)
+        calls = self.pending.fail(link)
         if member is None or member.link is not link:
             return
         if member.is_up:
-            log_line("peer-lost", member=member.node, data_centre=member.data_centre)
+            member.log_loss(calls)
             self._counters.add("peers_lost")
         member.is_up = False
         member.last_seen = read_monotonic()
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -73,15 +73,18 @@
         if pending is not None and not pending.future.done():
             pending.future.set_result(result)
 
-    def fail(self, link: Link) -> None:
-        """Fail the calls that were sent over a lost link."""
+    def fail(self, link: Link) -> int:
+        """Fail the calls that were sent over a lost link; return their number."""
         self._bodies.drop_link(link)
+        count = 0
         for number, pending in list(self._pending.items()):
             if pending.link is link:
                 del self._pending[number]
+                count += 1
                 if not pending.future.done():
                     error = LinkLost("link lost", step="call", peer=link.peer)
                     pending.future.set_exception(error)
+        return count
 
     async def sweep(self) -> None:
         """Ping silent links with pending calls and close dead ones until cancelled."""
@@ -100,7 +103,12 @@
 def _check_link(link: Link, sent: float, now: float) -> None:
     silence = now - max(sent, link.last_received)
     if silence > PING_AFTER_SECONDS + PING_TIMEOUT_SECONDS:
-        log_line("peer-silent", member=link.peer, seconds=round(silence, 2))
+        log_line(
+            "peer-silent",
+            member=link.peer,
+            seconds=round(silence, 2),
+            pinged=link.ping_pending,
+        )
         link.close()
     elif silence > PING_AFTER_SECONDS and not link.ping_pending:
         link.ping_pending = True
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -59,6 +59,7 @@
         listener.close_idle(MIN_IDLE_SECONDS)
         await asyncio.sleep(POLL_SECONDS)
     listener.close_idle()
+    log_line("drained", requests=listener.count_busy(), calls=inbound.running)
 
 
 async def await_readers(readers: ReaderProgress, killed_at: float) -> None:
