A silent request is tried elsewhere without being given up

Callers saw a 502 with time left, while the target was at work on their read (LOST around a SIGTERM of their node): once later requests overtook three reads, the gate ended them so that another target could be tried, and when no other target was left or had room, the first node had nothing but its own answer.

Cause: policy/silence ended the wait at the gate.

Now the gate only reports the silence (frame Silence) and goes on waiting. The first node awaits the silent attempt beside the next one, takes the first success of either, and cancels the other; without a success the wait ends at the deadline. A gate of an earlier build gets no permission to give a request up, and one that is asked by such a node waits.

--- a/cactusshed/mesh/callplan.py
+++ b/cactusshed/mesh/callplan.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .frames import Call, Result
+from .silentattempts import SilentAttempts
 
 __all__ = ["CallPlan", "DispatchState", "Outcome"]
 
@@ -55,3 +56,5 @@
     failure: Result | None = None
     last: str = ""
     version: str = ""
+    silent: SilentAttempts = attrs.Factory(SilentAttempts)
+    """Attempts at targets that have not answered so far."""
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -1,8 +1,7 @@
 """Dispatch of calls by the node that received them: target choice and retries."""
 
-import asyncio
+import copy
 import random
-from collections.abc import Callable
 
 import attrs
 
@@ -12,12 +11,13 @@
 from ..policy.placement import Candidate, LoadView, order_candidates
 from .callplan import CallPlan, DispatchState, Outcome
 from .candidates import Candidates
-from .exchange import MIN_FAILURE_STATUS, TARGET_SILENT
-from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
+from .exchange import TARGET_SILENT, is_success
+from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Result
 from .gate import Gate
-from .link import LinkLost
+from .gatecalls import EMPTY_LOAD, run_local, run_remote
 from .member import Member
 from .peers import Peers
+from .silentattempts import TargetSilent
 
 __all__ = ["Dispatcher"]
 
@@ -29,8 +29,6 @@
 count, since nodes seldom know how much of it is left."""
 MAX_ATTEMPTS = 8
 """Maximum number of gates that one call tries, for whatever reason."""
-EMPTY_LOAD = Load(0, 0, 1, 0.0)
-"""Load in results that come from no gate."""
 NO_TARGET_RETRY_MS = 150
 """Retry delay advised when no target is open. State updates reach every node within
 this time, so a target that opens is known by then."""
@@ -50,14 +48,22 @@
     peers: Peers
     gate: Gate
     counters: Counters
-    is_leaving: Callable[[], bool] = lambda: False
-    """Returns whether this node shuts down; it then awaits every answer to the end."""
     rng: random.Random = attrs.Factory(random.Random)
     baseline_latency: dict[str, float] = attrs.Factory(dict)
 
     async def run(self, plan: CallPlan) -> Outcome:
         """Send a call to a target, retrying where allowed, and return its outcome."""
         state = DispatchState(version=plan.choose_version())
+        try:
+            result = await self._try_targets(plan, state)
+            if not is_success(result) and state.silent:
+                result = await state.silent.await_success() or result
+        finally:
+            state.silent.cancel()
+        refusals = [refusal.code for refusal in state.refusals]
+        return Outcome(result, state.arrivals, state.last, refusals)
+
+    async def _try_targets(self, plan: CallPlan, state: DispatchState) -> Result:
         for _ in range(MAX_ATTEMPTS):
             choice = (
                 None if _has_exhausted_capacity(state) else self._choose(plan, state)
@@ -66,10 +72,11 @@
                 if not self._fall_back(plan, state):
                     break
                 continue
-            result = await self._attempt(plan, state, *choice)
+            attempt = self._attempt(plan, state, *choice)
+            result = await state.silent.race(attempt)
             if self._record_result(plan, state, result, choice[0]):
-                return _make_outcome(result, state)
-        return _make_outcome(self._make_failure(plan, state), state)
+                return result
+        return self._make_failure(plan, state)
 
     def _fall_back(self, plan: CallPlan, state: DispatchState) -> bool:
         """Switch to the old version of a move; return whether that is allowed."""
@@ -121,17 +128,16 @@
         member: Member | None,
     ) -> Result:
         now = read_monotonic()
-        call = plan.call
+        plan.call.attempt += 1
+        # A silent attempt keeps its own.
+        call = copy.copy(plan.call)
         call.remaining_ms = max(0, int((plan.deadline - now) * 1000))
         call.soft_timeout_ms = max(0, int((plan.soft_deadline - now) * 1000))
         call.is_retry = state.arrivals > 0
         call.may_have_run = state.failure is not None
-        call.may_abandon = (
-            call.is_idempotent
-            and state.arrivals + 1 < plan.max_attempts
-            and not self.is_leaving()
+        call.reports_silence = (
+            call.is_idempotent and state.arrivals + 1 < plan.max_attempts
         )
-        call.attempt += 1
         state.last = candidate.name
         view = candidate.view
         view.in_flight += 1
@@ -139,9 +145,14 @@
         started = now
         try:
             if member is None:
-                result = await self._run_local(call)
+                result = await run_local(self.gate, call)
             else:
-                result = await self._run_remote(call, member, plan.deadline)
+                result = await run_remote(self.peers, member, call, plan.deadline)
+        except TargetSilent as silent:
+            state.silent.add(silent)
+            result = Result(
+                0, UNKNOWN, EMPTY_LOAD, code=TARGET_SILENT, reached_target=True
+            )
         finally:
             view.in_flight -= 1
         now = read_monotonic()
@@ -159,43 +170,12 @@
     ) -> None:
         if result.outcome == NOT_RUN and not result.reached_target:
             return
-        failed = result.outcome != ANSWERED or result.status >= MIN_FAILURE_STATUS
+        failed = not is_success(result)
         view.note_outcome(failed=failed)
         if not failed:
             previous = self.baseline_latency.get(call.route, latency)
             self.baseline_latency[call.route] = previous + 0.05 * (latency - previous)
 
-    async def _run_local(self, call: Call) -> Result:
-        if call.is_idempotent:
-            return await self.gate.run(call)
-        # A call that can't be retried completes even if the client disconnects.
-        task = asyncio.create_task(self.gate.run(call))
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            if not self.gate.outcomes.is_dispatched(call):
-                task.cancel()
-            raise
-
-    async def _run_remote(self, call: Call, member: Member, deadline: float) -> Result:
-        start_time = member.start_time
-        try:
-            return await self.peers.call(member, call)
-        except LinkLost:
-            pass
-        if call.is_idempotent:
-            return Result(0, UNKNOWN, EMPTY_LOAD, code="link-lost", reached_target=True)
-        resolved = await self.peers.resolve_outcome(member, start_time, call, deadline)
-        log_line(
-            "call-settled",
-            request=call.request_id,
-            peer=member.node,
-            outcome=resolved.code or "answered" if resolved else "unknown",
-        )
-        if resolved is None:
-            return Result(0, UNKNOWN, EMPTY_LOAD, code="peer-died", reached_target=True)
-        return resolved
-
     def _record_result(
         self,
         plan: CallPlan,
@@ -206,15 +186,14 @@
         """Record the result of an attempt; return whether it ends the call."""
         if result.outcome == NOT_RUN:
             is_full = result.code in _NO_CAPACITY and not candidate.start_rate
-            # A request that was given up for another target should find one.
-            if is_full and not _was_abandoned(state):
+            # A request whose target is silent should find another one.
+            if is_full and not _is_tried_beside(state):
                 state.full_gates += 1
             self._record_refusal(plan, state, result)
             return state.arrivals >= plan.max_attempts
         state.arrivals += 1
         state.tried.add(state.last)
-        failed = result.outcome == UNKNOWN or result.status >= MIN_FAILURE_STATUS
-        if not failed:
+        if is_success(result):
             return True
         if state.failure is None or result.outcome == ANSWERED:
             state.failure = result
@@ -265,13 +244,8 @@
         )
 
 
-def _make_outcome(result: Result, state: DispatchState) -> Outcome:
-    refusals = [refusal.code for refusal in state.refusals]
-    return Outcome(result, state.arrivals, state.last, refusals)
-
-
-def _was_abandoned(state: DispatchState) -> bool:
-    """Return whether a gate gave up the wait for an answer that may still come."""
+def _is_tried_beside(state: DispatchState) -> bool:
+    """Return whether a target has not answered, so that others are tried beside it."""
     return state.failure is not None and state.failure.code == TARGET_SILENT
 
 
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -21,19 +21,23 @@
 from .targetclient import exchange_call, filter_headers
 from .upstream import Answer, NotSent, Upstream, UpstreamFailed
 
-__all__ = ["MIN_FAILURE_STATUS", "TARGET_SILENT", "TargetExchange"]
+__all__ = ["MIN_FAILURE_STATUS", "TARGET_SILENT", "TargetExchange", "is_success"]
 
 ANSWER_GRACE_SECONDS = 0.05
 """Time past a call's deadline for which a late refusal of the target is accepted."""
 TARGET_SILENT = "target-silent"
-"""Code of a call whose answer is not awaited any longer, so that another target may be
-tried."""
+"""Code of a call that another target is tried for, while its answer is awaited."""
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 """Statuses by which callers are promised that their request has not run."""
 MIN_FAILURE_STATUS = 500
 """Lowest status of an answer that counts as a failure."""
 
 
+def is_success(result: Result) -> bool:
+    """Return whether a result is an answer, and not that of a failure."""
+    return result.outcome == ANSWERED and result.status < MIN_FAILURE_STATUS
+
+
 @attrs.define(eq=False)
 class TargetExchange:
     """Sends calls to the local target and turns its answers into results."""
@@ -64,16 +68,22 @@
             retry_after_ms=retry_after_ms,
         )
 
-    def abandon_silent(
+    def report_silent(
         self, now: float, limit: int, get_service_time: Callable[[str], float]
     ) -> None:
-        """End the wait for answers that will not come; see `SilenceDetector`."""
+        """Report answers that may never come; see `SilenceDetector`."""
         for sent in list(self.silence.find_silent(now, limit, get_service_time)):
-            sent.may_abandon = False
-            sent.abandon()
+            sent.report()
+            sent.report = None
+
+    async def send(
+        self, call: Call, ticket: Ticket, on_silent: Callable[[], None] | None = None
+    ) -> tuple[Result, Answer | None]:
+        """Send a call to the target; return its result, and the answer if it came.
 
-    async def send(self, call: Call, ticket: Ticket) -> tuple[Result, Answer | None]:
-        """Send a call to the target; return its result, and the answer if it came."""
+        `on_silent` is called, at most once, if the target is silent. The answer is
+        awaited all the same, until the deadline or until this coroutine is cancelled.
+        """
         instance = self.get_instance()
         started = read_monotonic()
         deadline = ticket.deadline
@@ -81,18 +91,11 @@
         self.crash_tracker.begin(call, ticket.soft_deadline, started)
         upstream: Upstream | None = None
         answer: Answer | None = None
-        loop = asyncio.get_running_loop()
-        timeout = asyncio.timeout(limit)
-        sent = SentRequest(
-            call.route,
-            started,
-            deadline,
-            call.may_abandon,
-            lambda: timeout.reschedule(loop.time()),
-        )
+        report = on_silent and self._make_report(call, deadline, started, on_silent)
+        sent = SentRequest(call.route, started, deadline, report)
         self.silence.add(sent)
         try:
-            async with timeout:
+            async with asyncio.timeout(limit):
                 upstream, answer = await exchange_call(
                     self.pool, call, deadline, instance
                 )
@@ -105,26 +108,38 @@
             return self._handle_lost_answer(call, error, started), None
         except TimeoutError:
             self._record_answer(call, started, failed=True)
-            return self._handle_silence(call, deadline, started), None
+            return self._make_unknown(call, "timeout"), None
+        except asyncio.CancelledError:
+            if on_silent is not None and sent.report is None:
+                # Another target has answered what this one left without an answer.
+                self._record_answer(call, started, failed=True)
+            raise
         finally:
             self.crash_tracker.end(call)
             self.silence.remove(sent, was_answered=answer is not None)
         self.pool.release(upstream)
         return self._read_answer(call, answer, started), answer
 
-    def _handle_silence(self, call: Call, deadline: float, started: float) -> Result:
-        now = read_monotonic()
-        if now >= deadline:
-            return self._make_unknown(call, "timeout")
-        self.counters.add("answers_abandoned")
-        log_line(
-            TARGET_SILENT,
-            request=call.request_id,
-            instance=self.get_instance(),
-            after_ms=int((now - started) * 1000),
-            left_ms=int((deadline - now) * 1000),
-        )
-        return self._make_unknown(call, TARGET_SILENT)
+    def _make_report(
+        self,
+        call: Call,
+        deadline: float,
+        started: float,
+        on_silent: Callable[[], None],
+    ) -> Callable[[], None]:
+        def report() -> None:
+            now = read_monotonic()
+            self.counters.add("answers_silent")
+            log_line(
+                TARGET_SILENT,
+                request=call.request_id,
+                instance=self.get_instance(),
+                after_ms=int((now - started) * 1000),
+                left_ms=int((deadline - now) * 1000),
+            )
+            on_silent()
+
+        return report
 
     def _handle_lost_answer(
         self, call: Call, error: UpstreamFailed, started: float
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -27,6 +27,7 @@
     "RecordsUpdate",
     "Result",
     "OutcomeQuery",
+    "Silence",
     "StateUpdate",
     "Strike",
     "TableChange",
@@ -128,7 +129,9 @@
     body_size: int = 0
     """Size of a body that follows in parts; 0 if `body` is the whole body."""
     may_abandon: bool = False
-    """Whether the first node tries another target if this one stays silent."""
+    """For gates of earlier builds, which would end a silent call; always false."""
+    reports_silence: bool = False
+    """Whether the gate sends `Silence` to the first node if the target is silent."""
 
 
 class Result(msgspec.Struct, array_like=True, tag=3):
@@ -155,6 +158,12 @@
     data: bytes
 
 
+class Silence(msgspec.Struct, array_like=True, tag=16):
+    """Reports that the target has not answered a call so far; a result follows."""
+
+    number: int
+
+
 class Cancel(msgspec.Struct, array_like=True, tag=4):
     """Cancels a call whose result is no longer needed."""
 
@@ -267,6 +276,7 @@
     | BodyPart
     | Call
     | Result
+    | Silence
     | Cancel
     | OutcomeQuery
     | StateUpdate
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -138,7 +138,7 @@
             now = read_monotonic()
             for route, rate in self.backpressure.step(now):
                 log_line("backpressure", route=route, rate=rate)
-            self.exchange.abandon_silent(
+            self.exchange.report_silent(
                 now, self.queue.limit, self.queue.get_service_time
             )
             if self.queue.waiting:
@@ -184,13 +184,18 @@
             bucket.take(now)
         self.backpressure.note_start(ticket.route, now)
 
-    async def run(self, call: Call) -> Result:
-        """Run a call on the target after it is admitted."""
+    async def run(
+        self, call: Call, on_silent: Callable[[], None] | None = None
+    ) -> Result:
+        """Run a call on the target after it is admitted.
+
+        `on_silent` is called if the target is silent; see `TargetExchange.send`.
+        """
         refusal = self._check(call)
         if refusal:
             return self._refuse(call, refusal)
         if call.is_idempotent:
-            return await self._run_admitted(call)
+            return await self._run_admitted(call, on_silent)
         result = self.outcomes.begin(call)
         if result is not None:
             self.counters.add(f"gate_refused_{result.code}")
@@ -213,7 +218,9 @@
     def _refuse(self, call: Call, code: str, retry_after: float = 0.0) -> Result:
         return self.exchange.refuse(call, code, retry_after)
 
-    async def _run_admitted(self, call: Call) -> Result:
+    async def _run_admitted(
+        self, call: Call, on_silent: Callable[[], None] | None = None
+    ) -> Result:
         now = read_monotonic()
         deadline = now + call.remaining_ms / 1000
         ticket = Ticket(
@@ -233,7 +240,7 @@
             code = self._run_final_checks(call)
             if code:
                 return self._refuse(call, code)
-            result, answer = await self.exchange.send(call, ticket)
+            result, answer = await self.exchange.send(call, ticket, on_silent)
             return result
         finally:
             was_running = ticket.state == TicketState.RUNNING
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -24,6 +24,7 @@
     ReaderHeartbeat,
     RecordsUpdate,
     Result,
+    Silence,
     Strike,
     VersionTallies,
 )
@@ -118,8 +119,12 @@
             self.bodies.budget.release(call.body_size)
 
     async def _run(self, link: Link, call: Call) -> None:
+        def report_silence() -> None:
+            link.send(Silence(call.number))
+
+        on_silent = report_silence if call.reports_silence else None
         try:
-            result = await self.gate.run(call)
+            result = await self.gate.run(call, on_silent)
         except Exception as error:
             # Without a result the first node would wait until the deadline.
             log_line("call-crashed", request=call.request_id, error=repr(error))
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -18,6 +18,7 @@
     Hello,
     OutcomeQuery,
     Result,
+    Silence,
     StateUpdate,
     TargetState,
 )
@@ -197,6 +198,8 @@
         """Handle one frame from a link dialled by either side."""
         if isinstance(frame, Result | BodyPart):
             self.pending.handle(link, frame)
+        elif isinstance(frame, Silence):
+            self.pending.handle_silence(frame)
         elif isinstance(frame, Hello):
             self._handle_hello(link, frame)
         elif isinstance(frame, StateUpdate):
@@ -269,6 +272,7 @@
     async def call(self, member: Member, call: Call) -> Result:
         """Send a call and return its result; raise `LinkLost` if the link breaks.
 
+        Raises `TargetSilent` if the target is silent and the call asks to be told.
         Cancelling this coroutine sends `Cancel` to the other node.
         """
         call.number = next(self._numbers)
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -7,9 +7,19 @@
 from ..observe.lines import log_line
 from ..policy.bodybudget import BodyBudget
 from .bodyparts import BodyAssembler
-from .frames import UNKNOWN, BodyPart, Call, Cancel, OutcomeQuery, Ping, Result
+from .frames import (
+    UNKNOWN,
+    BodyPart,
+    Call,
+    Cancel,
+    OutcomeQuery,
+    Ping,
+    Result,
+    Silence,
+)
 from .link import Link, LinkLost
 from .member import Member
+from .silentattempts import TargetSilent
 
 __all__ = ["PendingCalls"]
 
@@ -39,7 +49,8 @@
     async def send(self, member: Member, frame: Call | OutcomeQuery) -> Result:
         """Send a call or an outcome query and return its result; raise `LinkLost`.
 
-        Cancelling the task sends a `Cancel` to the other node.
+        Raises `TargetSilent` if a result is still to come, but may take until the
+        deadline. Cancelling the task sends a `Cancel` to the other node.
         """
         link = member.link
         if link is None or not member.is_up or not link.send(frame):
@@ -50,10 +61,28 @@
         try:
             return await future
         except asyncio.CancelledError:
-            link.send(Cancel(frame.number))
+            self._cancel(frame.number, link)
             raise
         finally:
-            self._pending.pop(frame.number, None)
+            if self._pending.get(frame.number) is pending:
+                del self._pending[frame.number]
+
+    def _cancel(self, number: int, link: Link) -> None:
+        self._pending.pop(number, None)
+        link.send(Cancel(number))
+
+    def handle_silence(self, frame: Silence) -> None:
+        """Let a call try another target; its result is awaited all the same."""
+        number = frame.number
+        pending = self._pending.get(number)
+        if pending is None or pending.future.done():
+            return
+        later = asyncio.get_running_loop().create_future()
+        self._pending[number] = _PendingCall(later, pending.link, pending.sent)
+        later.add_done_callback(lambda _later: self._pending.pop(number, None))
+        pending.future.set_exception(
+            TargetSilent(later, lambda: self._cancel(number, pending.link))
+        )
 
     def handle(self, link: Link, frame: Result | BodyPart) -> None:
         """Handle a result, or a part of the body of one."""
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -251,7 +251,6 @@
             self.peers,
             self.gate,
             self.counters,
-            lambda: self.is_leaving,
         )
         caller_handler = CallerHandler(
             self.records,
--- a/cactusshed/policy/silence.py
+++ b/cactusshed/policy/silence.py
@@ -1,4 +1,4 @@
-"""Detection of requests that a target will not answer.
+"""Detection of requests that a target may never answer.
 
 Load pattern: a target leaves some requests without an answer, and whatever follows on
 the same connections, while it answers on its other connections as usual. Waiting for
@@ -12,10 +12,10 @@
 __all__ = ["SentRequest", "SilenceDetector"]
 
 SERVICE_TIMES = 5.0
-"""Multiple of its route's mean service time after which a request may be abandoned: the
+"""Multiple of its route's mean service time after which a request may be silent: the
 slowest hundredth of the users' requests takes three to five times the mean."""
 MIN_SECONDS = 0.2
-"""Shortest time after which a request may be abandoned."""
+"""Shortest time after which a request may be silent."""
 MIN_SILENT = 3
 """Requests without an answer at the same time that show a target to leave some
 unanswered; one or two of them may just take long."""
@@ -28,10 +28,9 @@
     route: str
     sent_at: float
     deadline: float
-    may_abandon: bool
-    """Whether the request will be sent elsewhere if it is abandoned."""
-    abandon: Callable[[], None]
-    """Ends the wait for the answer."""
+    report: Callable[[], None] | None
+    """Reports the silence, so that the request is sent elsewhere, too; `None` if it
+    can't be, or has been reported."""
     overtaken_by: int = 0
     """Number of requests that were sent later and have been answered."""
 
@@ -58,11 +57,11 @@
     def find_silent(
         self, now: float, limit: int, get_service_time: Callable[[str], float]
     ) -> Iterator[SentRequest]:
-        """Yield the requests that should be sent elsewhere instead of awaited.
+        """Yield the requests that should be sent elsewhere besides being awaited.
 
         At least `limit` later ones, as many as the target runs at a time, must have
-        been answered. A target that is slow as a whole abandons nothing so, and
-        neither does one whose caller has no time for another attempt.
+        been answered. So nothing is silent at a target that is slow as a whole, nor
+        where the caller has no time for another attempt.
         """
         silent = [
             sent
@@ -75,5 +74,5 @@
             return
         for sent in silent:
             has_time = sent.deadline - now > get_service_time(sent.route)
-            if sent.may_abandon and has_time:
+            if sent.report is not None and has_time:
                 yield sent
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -54,7 +54,7 @@
     counters: Counters = attrs.Factory(Counters)
     error: Exception | None = None
 
-    async def run(self, call):
+    async def run(self, call, _on_silent=None):
         """Return the size of the body as the answer."""
         if self.error is not None:
             raise self.error
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -417,14 +417,14 @@
     assert_that(second, LessThan(710))
 
 
-def test_leaving_node_awaits_every_answer(monkeypatch):
-    """A gate may give up a silent request only for a node that will send it again."""
+def test_no_gate_is_allowed_to_give_up_a_silent_request(monkeypatch):
+    """Gates of earlier builds would end it, also around a planned stop."""
     seen = []
     run_call = Gate.run
 
-    async def run_and_note(gate, call):
-        seen.append(call.may_abandon)
-        return await run_call(gate, call)
+    async def run_and_note(gate, call, on_silent=None):
+        seen.append((call.may_abandon, call.reports_silence))
+        return await run_call(gate, call, on_silent)
 
     monkeypatch.setattr(Gate, "run", run_and_note)
 
@@ -436,7 +436,7 @@
             await nodes[0].request("/read/x")
 
     run_async(work)
-    assert_that(seen, Equals([True, False, False]))
+    assert_that(seen, Equals([(False, True), (False, False), (False, True)]))
 
 
 def test_leaving_node_serves_accepted_requests_and_then_refuses():
