A target that restarts while idle gets the rate of a cold one

A target that crashed between two bursts and came back under its id, cold, got the next burst at the rate of a warm one (the users' rule FAILBACK). A cold target crashes at that rate, with the submissions that it runs: their callers get 502.

Cause: the gate learned of a restart from a request that failed, another id in an answer or the target's heartbeat. A crash while nothing runs fails no request, and the heartbeat may come after the burst. The reset of the kept connections told nobody.

While a connection stays open, the process at its other end is the same. From then on starts are counted against what a cold target may get; when that is used up, the gate suspects a restart, as it does after a lost answer: the cold rate until one health answer says how long the target is cold. Traffic below the cold rate costs no health check and waits for nothing; neither does a burst at a target that has kept a connection open. A heartbeat does not end the doubt, since it may have been sent before the crash.

The product's path is left: serve/ bounds concurrency by the target's answers, knows no rate of cold targets, and learns of a restart from the incarnation in each announcement.

--- a/cactusshed/emulator/target.py
+++ b/cactusshed/emulator/target.py
@@ -51,6 +51,10 @@
     def release(self, _connection: "EmulatedTarget") -> None:
         """Do nothing: there is no connection to return to a pool."""
 
+    def may_have_restarted(self) -> bool:
+        """Return False: the emulated fleet tells gates of every restart."""
+        return False
+
     def fail(self) -> None:
         """Lose power and abort all running requests."""
         self.is_up = False
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -180,9 +180,12 @@
         now = read_monotonic()
         self.counters.add("gate_started")
         self.notices.rate_limit.starts += 1
-        for bucket in self._list_start_buckets(now):
-            bucket.take(now)
+        if self.notices.rate_limit.rate is not None:
+            self.notices.rate_limit.bucket.take(now)
         self.backpressure.note_start(ticket.route, now)
+        may_have_restarted = self.pool.may_have_restarted()
+        if self.cold.note_start(now, may_have_restarted=may_have_restarted):
+            self.suspect_restart(is_down=False)
 
     async def run(
         self, call: Call, on_silent: Callable[[], None] | None = None
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -122,6 +122,7 @@
         self.is_closed = False
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
+        self.on_closed = lambda _upstream: None
 
     def connection_made(self, transport) -> None:
         """Store the transport and enable TCP keepalive."""
@@ -153,6 +154,7 @@
         """Fail the pending request, if any."""
         self.is_closed = True
         self._fail(f"connection ended: {error or 'closed by peer'}")
+        self.on_closed(self)
 
     def _is_close_delimited(self) -> bool:
         framing = (b"content-length", b"transfer-encoding")
--- a/cactusshed/policy/coldstart.py
+++ b/cactusshed/policy/coldstart.py
@@ -3,7 +3,8 @@
 Load pattern: a target starts, returns or is put back into service under full
 traffic and fails if it receives the rate of a warm target. Restarts are not
 announced immediately, so a target counts as cold from any sign of a restart
-until it reports that it is warm.
+until it reports that it is warm. A target to which there was no connection may have
+restarted unseen; it is checked before it gets more than a cold one may get.
 """
 
 import attrs
@@ -55,12 +56,14 @@
 
     The target is cold until `cold_until`, and also while a restart is suspected: after
     a sign of a restart, only a report from the target itself ends the suspicion.
+    `is_unseen` says that it may have restarted unseen.
     """
 
     rate: float = MIN_RATE
     burst: float = 1.0
     cold_until: float = 0.0
     restart_suspected: bool = True
+    is_unseen: bool = False
     bucket: TokenBucket = attrs.Factory(lambda: TokenBucket(MIN_RATE, 1.0))
 
     def adjust(self, rate: float, factor: float, slack: float) -> None:
@@ -77,6 +80,18 @@
         if not self.is_cold(now):
             self.bucket.empty(now)
         self.restart_suspected = True
+        self.is_unseen = False
+
+    def note_start(self, now: float, *, may_have_restarted: bool) -> bool:
+        """Record the start of a request.
+
+        Returns whether the target must be suspected of a restart: it may have restarted
+        unseen and has got as many requests as a cold one may get.
+        """
+        self.is_unseen = self.is_unseen or may_have_restarted
+        if self.is_cold(now) or self.is_unseen:
+            self.bucket.take(now)
+        return self.is_unseen and self.bucket.count(now) <= 0
 
     def set_cold_time(self, seconds: float, now: float) -> None:
         """Record the target's report that it will be cold for `seconds` more."""
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -50,8 +50,10 @@
     running: int = 0
     peak_running: int = 0
     connections: int = 0
+    health_checks: int = 0
     address: Address | None = None
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.Factory(set)
 
     async def open(self, ip: str = "127.0.0.1", port: int = 0) -> None:
         """Listen on loopback."""
@@ -63,14 +65,22 @@
         """Close the listener."""
         self._server.close()
 
+    def crash(self) -> None:
+        """Close the listener and reset all connections."""
+        self.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 continue
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(self, reader, writer) -> bool:
@@ -81,6 +91,7 @@
         body = await reader.readexactly(int(headers.get(b"content-length", 0)))
         path = request_line.split(b" ")[1]
         if path == b"/healthz":
+            self.health_checks += 1
             status = 503 if self.is_leaving else 200
             self._write(writer, status, headers, b"", sealed=False, health=True)
             return True
