A silent link is found also if no call on it lasts so long

Open connections may go silent for good. A link between two nodes is pinged after 0.3 s and closed after 0.8 s of silence, but only calls that were pending were looked at.

A call or an outcome query that is given up now keeps its link under watch until data arrives on it. One answered ping ends the watch, so idle links cost nothing, and a node that answers pings keeps its link however slow its target is.

The product's path needs no change: a call that times out closes its connection and the idle ones as old.

--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -41,8 +41,8 @@
     """One connection; `peer` is the other node's name once its `Hello` arrived.
 
     `takes_parts` says that the other side accepts large bodies in parts.
-    `pinged_at` is the time of a ping that is unanswered; `last_received` is the time
-    at which data last arrived.
+    `pinged_at` is the time of the last ping, `last_received` that at which data last
+    arrived.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         self.peer = ""
         self.is_closed = False
         self.takes_parts = False
-        self.pinged_at: float | None = None
+        self.pinged_at = float("-inf")
         self.last_received = self._loop.time()
 
     def connection_made(self, transport) -> None:
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -26,7 +26,7 @@
 SWEEP_SECONDS = 0.1
 """Interval between checks for silent links."""
 PING_AFTER_SECONDS = 0.3
-"""Silence of a link with a pending call after which a ping is sent."""
+"""Silence of a link after a call on it after which a ping is sent."""
 PING_TIMEOUT_SECONDS = 0.5
 """Time without an answer to a ping after which the link is closed: a hundred round
 trips."""
@@ -45,6 +45,9 @@
     def __init__(self, budget: BodyBudget) -> None:
         """Start without pending calls; `budget` limits results that arrive in parts."""
         self._pending: dict[int, _PendingCall] = {}
+        # For each link, when the oldest call that was given up since data last arrived
+        # was sent.
+        self._given_up: dict[Link, float] = {}
         self._bodies = BodyAssembler(budget)
 
     async def send(self, member: Member, frame: Call | OutcomeQuery) -> Result:
@@ -63,6 +66,7 @@
             return await future
         except asyncio.CancelledError:
             self._cancel(frame.number, link)
+            self._note_given_up(pending)
             raise
         finally:
             if self._pending.get(frame.number) is pending:
@@ -85,6 +89,13 @@
             TargetSilent(later, lambda: self._cancel(number, pending.link))
         )
 
+    def _note_given_up(self, pending: _PendingCall) -> None:
+        """Keep watching a link whose calls end before its silence is found."""
+        link = pending.link
+        known = self._given_up.get(link, float("-inf"))
+        if link.last_received <= pending.sent and known < link.last_received:
+            self._given_up[link] = pending.sent
+
     def handle(self, link: Link, frame: Result | BodyPart) -> None:
         """Handle a result, or a part of the body of one."""
         if isinstance(frame, BodyPart):
@@ -106,6 +117,7 @@
     def fail(self, link: Link) -> int:
         """Fail the calls that were sent over a lost link; return their number."""
         self._bodies.drop_link(link)
+        self._given_up.pop(link, None)
         count = 0
         for number, pending in list(self._pending.items()):
             if pending.link is link:
@@ -117,7 +129,7 @@
         return count
 
     async def sweep(self) -> None:
-        """Ping silent links with pending calls and close dead ones until cancelled."""
+        """Ping silent links with calls and close dead ones until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
@@ -126,17 +138,21 @@
             for pending in self._pending.values():
                 sent = min(oldest.get(pending.link, now), pending.sent)
                 oldest[pending.link] = sent
+            for link, sent in list(self._given_up.items()):
+                if link.is_closed or link.last_received > sent:
+                    del self._given_up[link]
+                else:
+                    oldest[link] = min(oldest.get(link, now), sent)
             for link, sent in oldest.items():
                 _check_link(link, sent, now)
 
 
 def _check_link(link: Link, sent: float, now: float) -> None:
-    silence = now - max(sent, link.last_received)
-    if silence <= PING_AFTER_SECONDS:
-        link.pinged_at = None
-    elif link.pinged_at is None:
+    if now - max(sent, link.last_received) <= PING_AFTER_SECONDS:
+        return
+    if link.pinged_at <= link.last_received:
         link.pinged_at = now
         link.send(Ping())
     elif now - link.pinged_at > PING_TIMEOUT_SECONDS:
-        log_line("peer-silent", member=link.peer, seconds=round(silence, 2))
+        log_line("peer-silent", member=link.peer, seconds=round(now - sent, 2))
         link.close()
