Answers kept for outcome queries take a bounded part of the memory

A gate keeps the answers of unsafe calls for a minute, for first nodes that have lost their link. Their number was bounded (20,000) and their bodies (64 KiB each), but not their bytes in all, nor their headers: 1.3 GB in a process that has 300 MB, which is then killed and loses every request. At the sizes of the users' sites they are a few MB.

Kept answers, with headers and objects, now take 4 % of the process's memory.

--- a/cactusshed/mesh/outcomes.py
+++ b/cactusshed/mesh/outcomes.py
@@ -10,7 +10,12 @@
 import attrs
 
 from ..clock import read_monotonic
-from ..policy.callrecords import CallRecord, CallRecords, CallState
+from ..policy.callrecords import (
+    CallRecord,
+    CallRecords,
+    CallState,
+    measure_answer,
+)
 from .frames import (
     ANSWERED,
     NOT_RUN,
@@ -36,6 +41,10 @@
     _records: CallRecords = attrs.Factory(CallRecords)
     _end_futures: dict[str, asyncio.Future] = attrs.Factory(dict)
 
+    def limit_answers(self, max_bytes: int) -> None:
+        """Set the memory that kept answers may take, in bytes."""
+        self._records.max_answer_bytes = max_bytes
+
     def begin(self, call: Call) -> Result | None:
         """Record an arriving call; return a result if it must not be run."""
         key = make_attempt_id(call)
@@ -63,7 +72,8 @@
             self._records.refuse(key, now)
         elif result is not None and len(result.body) <= MAX_KEPT_ANSWER_BYTES:
             answer = result if result.outcome == ANSWERED else None
-            self._records.finish(key, now, answer)
+            size = measure_answer(result.headers, result.body)
+            self._records.finish(key, now, answer, size)
         else:
             self._records.finish(key, now)
         self._end_futures.pop(key).set_result(None)
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -13,7 +13,7 @@
 from ..platform import headers as header_names
 from ..platform.boot import Settings
 from ..platform.rows import RowStore
-from ..policy.bodybudget import make_body_budgets
+from ..policy.bodybudget import compute_kept_answer_bytes, make_body_budgets
 from ..policy.gateretries import GateRetryBudget
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
@@ -88,6 +88,9 @@
             on_restart_suspected=lambda: self.health_checks.suspect_restart(),
             on_leaving=lambda sent_at: self.announcements.note_leaving(sent_at),
         )
+        self.gate.outcomes.limit_answers(
+            compute_kept_answer_bytes(settings.memory_bytes)
+        )
         self.announcements = Announcements(
             self.gate,
             self.crash_tracker,
--- a/cactusshed/policy/bodybudget.py
+++ b/cactusshed/policy/bodybudget.py
@@ -7,11 +7,13 @@
 
 import attrs
 
-__all__ = ["BodyBudget", "make_body_budgets"]
+__all__ = ["BodyBudget", "compute_kept_answer_bytes", "make_body_budgets"]
 
 MEMORY_FRACTION = 0.12
 """Fraction of the process's memory for the bodies of requests, and as much for those of
 answers. A body has up to three copies at a time: as received, joined, and encoded."""
+KEPT_ANSWERS_FRACTION = 0.04
+"""Fraction of the process's memory for answers that other nodes may still ask for."""
 RETRY_SECONDS = 0.25
 """Advised retry delay: the time for which one body is held at the usual load."""
 
@@ -39,3 +41,8 @@
     """Return the budgets for requests and answers in a process with that memory."""
     limit = int(MEMORY_FRACTION * memory_bytes)
     return BodyBudget(limit), BodyBudget(limit)
+
+
+def compute_kept_answer_bytes(memory_bytes: int) -> int:
+    """Return the limit of kept answers in a process with that memory."""
+    return int(KEPT_ANSWERS_FRACTION * memory_bytes)
--- a/cactusshed/serve/gates.py
+++ b/cactusshed/serve/gates.py
@@ -11,7 +11,7 @@
 from ..observe.events import log_event
 from ..observe.tallies import Tallies, TallyKey
 from ..policy.admission import Gate, Ticket, TicketState
-from ..policy.callrecords import CallRecords, CallState
+from ..policy.callrecords import CallRecords, CallState, measure_answer
 from ..spread.activeversion import ActiveVersion
 from ..tree.table import Limits
 from .headers import filter_end_to_end
@@ -152,7 +152,8 @@
         elif isinstance(outcome, NotRun):
             self.call_records.refuse(call.call_id, now)
         elif isinstance(outcome, Answered) and _is_storable(outcome.reply):
-            self.call_records.finish(call.call_id, now, outcome)
+            size = measure_answer(outcome.reply.headers, outcome.reply.body)
+            self.call_records.finish(call.call_id, now, outcome, size)
         else:
             self.call_records.finish(call.call_id, now)
         self._end_events.pop(call.call_id).set()
