The soak's clients, targets and checks behave as on the users' platform

Faults that callers saw went unseen.

Clients follow one of eleven behaviours (`behaviours.CLIENTS`), targets give one of ten answers (`answers.ANSWERS`) after 5 to 600 ms of work in four slots, some with calls of their own; two services in three data centres. New faults: overlapping stops within a service and a data centre, a host that ends target first, a slow host, a restart of the store around a stop. Bodies are compared by digest in both directions.

Only faults at the nodes concerned excuse a loss, disruption of the store alone doesn't. New checks: memory, and exits at any time. Narrowed, by the same sentence: an own failure at or after the deadline or the route's timeout, an answer whose target denied its run, and a request of a client that uses a node beyond its readiness, crosses the close and wasn't passed on.

Each violation gets a timeline (`--report FOLDER`). A seed gives the same plan of faults and requests; each kind of fault comes once before any comes again. A run that is broken off by SIGTERM or while nodes start leaves no process behind.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,9 @@
 """Command line of the soak test."""
 
 import asyncio
+import math
 import random
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -9,7 +11,7 @@
 import click
 
 from .faults import FAULTS
-from .runner import run_soak
+from .runner import Report, run_soak
 
 __all__ = ["main"]
 
@@ -18,6 +20,13 @@
 MAX_SECONDS = 600.0
 
 
+async def _run_stoppable(*arguments) -> Report:
+    """Run a soak; a SIGTERM ends it and its processes, as Ctrl-C does."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run_soak(*arguments)
+
+
 @click.command()
 @click.option(
     "--seed", "seeds", type=int, multiple=True, help="Seed of a soak; repeatable."
@@ -27,22 +36,39 @@
 )
 @click.option("--nodes", type=click.IntRange(2, MAX_NODES), default=6)
 @click.option("--seconds", type=click.FloatRange(1.0, MAX_SECONDS), default=20.0)
-@click.option("--logs", type=click.Path(path_type=Path), help="Folder for the logs.")
+@click.option(
+    "--report",
+    "--logs",
+    "logs",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder for logs and timelines.",
+)
 @click.option("--only", multiple=True, type=click.Choice(sorted(FAULTS)))
 def main(seeds, fresh, nodes, seconds, logs, only) -> None:
     """Run one soak per seed; exit with status 1 if a guarantee was violated."""
+    if not seeds and not fresh:
+        raise click.UsageError("give --seed or --fresh, which is 0")
+    if not math.isfinite(seconds):
+        raise click.BadParameter(f"{seconds} is not finite", param_hint="'--seconds'")
     random_seeds = [random.SystemRandom().randrange(1 << 31) for _ in range(fresh)]
     has_violations = False
     for seed in [*seeds, *random_seeds]:
         with tempfile.TemporaryDirectory() as scratch:
             folder = (logs or Path(scratch)) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-            report = asyncio.run(run_soak(seed, nodes, seconds, folder, only))
+            try:
+                run = _run_stoppable(seed, nodes, seconds, folder, only)
+                report = asyncio.run(run)
+            except asyncio.CancelledError:
+                sys.exit(f"seed {seed}: broken off by SIGTERM")
         click.echo(
             f"seed {seed}: {len(report.violations)} violations, {report.runs} runs, "
             f"answers {report.status_counts}, "
-            f"faults {sum(report.fault_counts.values())}"
+            f"faults {sum(report.fault_counts.values())}, "
+            f"memory up to {report.peak_mb:.0f} MB"
         )
+        counts = {**report.fault_counts, **report.behaviour_counts}
+        click.echo("  " + ", ".join(f"{k} {n}" for k, n in sorted(counts.items())))
         for violation in report.violations:
             click.echo(f"  {violation.guarantee}: {violation.text}")
         has_violations = has_violations or bool(report.violations)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from .clients import DEADLINE_SECONDS, Record
-from .faults import InjectedFault
+from .answers import UNSERVED_SHAPES
+from .behaviours import CROSSING_KINDS
 from .fleet import (
     APPLY_SECONDS,
     COLD_FACTOR,
@@ -17,83 +17,22 @@
     LIMIT_EXCESS_FACTOR,
     LIMIT_SLACK,
     LIMIT_WINDOW_SECONDS,
+    MEMORY_MB,
     STABLE_SECONDS,
-    Fleet,
 )
-from .target import LimitPeriod, Run, SoakTarget
-
-__all__ = ["Observations", "Violation", "count_statuses", "find_violations"]
-
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses which guarantee that the request has not run."""
-LOST_STATUSES = frozenset({0, 502})
-"""No answer, or a node's own in place of one that its target has begun to make."""
-AFTEREFFECT_SECONDS = 3.0
-"""Time after the end of a fault in which an answer may still be lost because of it; the
-recovery is checked after this time."""
-OVERRUN_SECONDS = 0.5
-"""Tolerated delay of an answer beyond its deadline."""
-
-
-@attrs.frozen
-class Violation:
-    """A violated guarantee."""
-
-    guarantee: str
-    text: str
-
-
-@attrs.frozen
-class Observations:
-    """All that clients, targets and the fault injector recorded in one soak."""
-
-    fleet: Fleet
-    records: list[Record]
-    injected_faults: list[InjectedFault]
-    evacuations: list[tuple[str, float, float]]
-    added_routes: dict[str, float] = attrs.Factory(dict)
-    """Time at which each route was added, by its name."""
-
-    @property
-    def targets(self) -> list[SoakTarget]:
-        """Return the targets of all nodes."""
-        return [node.target for node in self.fleet.nodes]
-
-    @property
-    def runs(self) -> list[Run]:
-        """Return the runs of all targets."""
-        return [run for target in self.targets for run in target.run_log]
-
-    def map_nodes(self) -> dict[str, str]:
-        """Return the node at which each request began, by its id."""
-        return {record.request_id: record.node for record in self.records}
-
-
-def _check_runs(observations: Observations) -> Iterator[Violation]:
-    counts = Counter(run.request_id for run in observations.runs)
-    sent_ids = {record.request_id for record in observations.records}
-    for record in observations.records:
-        count = counts[record.request_id]
-        is_unsafe = record.path.startswith("/write")
-        if is_unsafe and count > 1:
-            yield Violation("at-most-once", f"{record.request_id} ran {count} times")
-        if is_unsafe and count and record.status in NOT_RUN_STATUSES:
-            text = f"{record.request_id} ran but was answered {record.status}"
-            yield Violation("true-refusal", text)
-    for request_id in counts.keys() - sent_ids:
-        yield Violation("asked-for", f"{request_id} ran, but no client sent it")
-
+from .observations import (
+    AFTEREFFECT_SECONDS,
+    Observations,
+    Violation,
+    is_isolated,
+    overlaps_fault,
+    was_restarted,
+)
+from .records import Record
+from .requestchecks import check_answers, check_lost_answers, check_runs
+from .target import LimitPeriod, SoakTarget
 
-def _check_answers(observations: Observations) -> Iterator[Violation]:
-    for record in observations.records:
-        if record.status == 200 and record.body != record.request_id.encode():
-            text = f"{record.request_id} got {record.body[:40]!r}"
-            yield Violation("own-answer", text)
-        took = record.ended - record.sent
-        is_late = record.status and took > DEADLINE_SECONDS + OVERRUN_SECONDS
-        if is_late and not _overlaps_fault(observations, record, kinds=("pause",)):
-            text = f"{record.request_id} was answered after {took:.2f} s"
-            yield Violation("in-time", text)
+__all__ = ["count_statuses", "find_violations"]
 
 
 def _check_leaves(observations: Observations) -> Iterator[Violation]:
@@ -116,7 +55,7 @@
                 continue
             for run in target.run_log:
                 if began + EVACUATION_SECONDS < run.started_at < ended:
-                    if _is_isolated(observations, target.node, run.started_at):
+                    if is_isolated(observations, target.node, run.started_at):
                         continue
                     text = (
                         f"{run.request_id} ran in {centre} "
@@ -149,7 +88,7 @@
         if run.instance != period.instance or not is_limited:
             continue
         node = nodes.get(run.request_id)
-        if not _was_restarted(observations, node, period.began, run.started_at):
+        if not was_restarted(observations, node, period.began, run.started_at):
             yield run.started_at
 
 
@@ -186,7 +125,7 @@
                 continue
             key = (run.instance, record.node)
             known_at = passed_on.get(key, float("inf"))
-            if record.sent > known_at + DRAIN_SECONDS and not _was_restarted(
+            if record.sent > known_at + DRAIN_SECONDS and not was_restarted(
                 observations, record.node, known_at, run.started_at
             ):
                 text = (
@@ -220,7 +159,7 @@
         )
         if record.status != 404 or record.sent <= added_at + APPLY_SECONDS:
             continue
-        if not _overlaps_fault(observations, attrs.evolve(record, sent=added_at)):
+        if not overlaps_fault(observations, attrs.evolve(record, sent=added_at)):
             text = (
                 f"{record.request_id}: {record.path} unknown after "
                 f"{record.sent - added_at:.2f} s"
@@ -228,19 +167,6 @@
             yield Violation("in-force", text)
 
 
-def _check_lost_answers(observations: Observations) -> Iterator[Violation]:
-    """Find answers that were lost without an unplanned fault."""
-    for record in observations.records:
-        if not record.was_sent or not record.ended:
-            continue
-        if record.status not in LOST_STATUSES:
-            continue
-        if not _overlaps_fault(observations, record):
-            cause = record.cause or f"status {record.status}"
-            text = f"{record.request_id} at {record.node}: {cause}"
-            yield Violation("lost", text)
-
-
 def _check_exits(observations: Observations) -> Iterator[Violation]:
     """Find processes that exited without being stopped."""
     for node in observations.fleet.nodes:
@@ -249,13 +175,28 @@
             yield Violation("own-end", f"{text}, statuses {node.exit_statuses}")
 
 
+def _check_memory(observations: Observations) -> Iterator[Violation]:
+    """Find processes that took more than their memory, at which the users end them."""
+    for node in observations.fleet.nodes:
+        if node.peak_mb > MEMORY_MB:
+            yield Violation("memory", f"{node.name} took {node.peak_mb:.0f} MB")
+
+
 def _check_recovery(observations: Observations) -> Iterator[Violation]:
     """Check that requests are served again once the faults are over."""
     recovery_start = (
         max((i.ended for i in observations.injected_faults), default=0.0)
         + AFTEREFFECT_SECONDS
     )
-    later = [r for r in observations.records if r.sent > recovery_start and r.ended]
+    later = [
+        record
+        for record in observations.records
+        if record.sent > recovery_start
+        and record.ended
+        and not record.has_left
+        and record.kind not in CROSSING_KINDS | {"connect"}
+        and record.shape not in UNSERVED_SHAPES | {"calls"}
+    ]
     if not later:
         yield Violation("recovery", "no request was sent after the faults")
         return
@@ -266,45 +207,11 @@
         yield Violation("recovery", text)
 
 
-def _overlaps_fault(
-    observations: Observations, record: Record, kinds: Iterable[str] = ()
-) -> bool:
-    """Return whether a fault of `kinds` (default: all unplanned) overlaps a request."""
-    return any(
-        fault.began <= record.ended and record.sent <= fault.ended + AFTEREFFECT_SECONDS
-        for fault in observations.injected_faults
-        if (fault.kind in kinds if kinds else not fault.is_planned)
-    )
-
-
-def _is_isolated(observations: Observations, node: str, moment: float) -> bool:
-    """Return whether a fault may have kept a node from reading an evacuation order."""
-    kinds = ("pause", "kill", "term")
-    return any(
-        fault.began <= moment and moment <= fault.ended + EVACUATION_SECONDS
-        for fault in observations.injected_faults
-        if (fault.node == node and fault.kind in kinds)
-        or fault.kind.startswith("store-")
-    )
-
-
-def _was_restarted(
-    observations: Observations, node: str | None, since: float, until: float
-) -> bool:
-    """Return whether a node was stopped or paused in some time."""
-    kinds = ("pause", "kill", "term")
-    return any(
-        fault.began <= until and since <= fault.ended
-        for fault in observations.injected_faults
-        if fault.node == node and fault.kind in kinds
-    )
-
-
 def find_violations(observations: Observations) -> list[Violation]:
     """Return all violated guarantees."""
     checks = (
-        _check_runs,
-        _check_answers,
+        check_runs,
+        check_answers,
         _check_leaves,
         _check_evacuations,
         _check_cold,
@@ -312,8 +219,9 @@
         _check_stated_leaves,
         _check_configuration,
         _check_activation,
-        _check_lost_answers,
+        check_lost_answers,
         _check_exits,
+        _check_memory,
         _check_recovery,
     )
     return [violation for check in checks for violation in check(observations)]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,7 @@
 from standins.rowstore import RowStoreApp, open_row_store
 
 from .proxy import FaultProxy
+from .records import ROUTES
 from .target import SoakTarget
 
 __all__ = [
@@ -28,6 +29,7 @@
     "LIMIT_EXCESS_FACTOR",
     "LIMIT_SLACK",
     "LIMIT_WINDOW_SECONDS",
+    "MEMORY_MB",
     "STABLE_SECONDS",
     "Fleet",
     "Node",
@@ -53,7 +55,12 @@
 """Starts per second that a cold target can take: a quarter of the load on a target."""
 START_SECONDS = 15.0
 """Time within which all nodes must be ready at the start."""
-ROUTES = {"/read/": {}, "/write/": {"kind": "unsafe"}}
+HEADER_TIMEOUT = "3s"
+"""Time within which a request must arrive; clients stop for less in a body."""
+MEMORY_MB = 300
+"""Memory of a node process, as on the users' machines."""
+WATCH_SECONDS = 0.5
+"""Interval between two looks at all processes."""
 
 
 @attrs.define(eq=False)
@@ -75,6 +82,9 @@
     """Number of times that the process exited without being stopped."""
     exit_statuses: list[int] = attrs.Factory(list)
     """Status of each such exit; a negative one is the number of a signal."""
+    peak_mb: float = 0.0
+    """Peak memory of its processes, as far as seen."""
+    is_stopping: bool = False
 
     def start(self) -> None:
         """Write the boot settings and start the process."""
@@ -88,6 +98,7 @@
                 env=environment,
             )
         self.start_count += 1
+        self.is_stopping = False
 
     def signal(self, signal_number: int) -> None:
         """Send a signal to the process if it is running."""
@@ -96,6 +107,8 @@
 
     async def stop(self, signal_number: int) -> None:
         """Stop the process by a signal; kill it after `GRACE_SECONDS`."""
+        self.note_exit()
+        self.is_stopping = True
         self.signal(signal_number)
         try:
             async with asyncio.timeout(GRACE_SECONDS):
@@ -106,6 +119,25 @@
             self.signal(signal.SIGKILL)
             self.process.wait()
 
+    def note_exit(self) -> bool:
+        """Return whether the process has exited unexpectedly, and count that."""
+        if self.is_stopping or self.process.poll() is None:
+            return False
+        self.is_stopping = True
+        self.unexpected_exits += 1
+        self.exit_statuses.append(self.process.returncode)
+        return True
+
+    def note_memory(self) -> None:
+        """Read the peak memory of the running process."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return  # It has just ended.
+        for line in text.splitlines():
+            if line.startswith("VmHWM:"):
+                self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+
     @property
     def caller_address(self) -> Address:
         """Return the address to which clients send requests."""
@@ -113,15 +145,17 @@
         return Address(ip, int(port))
 
 
-def _make_settings(node: str, data_centre: str, ip: str, ports: dict) -> dict:
+def _make_settings(
+    node: str, data_centre: str, service: str, ip: str, ports: dict
+) -> dict:
     return {
         "node": node,
         "zone": data_centre,
         "region": "r",
-        "service": "a",
+        "service": service,
         "listen": {name: f"{ip}:{port}" for name, port in ports.items()},
         "heartbeat": "500ms",
-        "limits": {"memory_mb": 300, "link_mbps": 1000.0},
+        "limits": {"memory_mb": MEMORY_MB, "link_mbps": 1000.0},
         "platform": {"row_bytes": 65536},
         "bounds": {
             "drain": f"{DRAIN_SECONDS}s",
@@ -160,28 +194,44 @@
         fleet = cls(store, folder, rng)
         fleet.store_address = address
         fleet.configure()
-        for number in range(count):
-            await fleet._add_node(number)
-        for node in fleet.nodes:
-            node.start()
-        async with asyncio.timeout(START_SECONDS):
+        try:
+            for number in range(count):
+                await fleet._add_node(number)
             for node in fleet.nodes:
-                await fleet.wait_ready(node)
+                node.start()
+            async with asyncio.timeout(START_SECONDS):
+                for node in fleet.nodes:
+                    await fleet.wait_ready(node)
+        except BaseException:
+            await fleet.close()
+            raise
+        fleet._tasks.append(asyncio.create_task(fleet._watch()))
         return fleet
 
+    async def _watch(self) -> None:
+        """Look at the processes; start those again that have ended by themselves."""
+        while True:
+            for node in self.nodes:
+                node.note_memory()
+                if node.note_exit():
+                    node.start()
+            await asyncio.sleep(WATCH_SECONDS)
+
     def configure(self, **routes: dict) -> None:
         """Publish the next version of the configuration, with `routes` added."""
         self.version += 1
         added_routes = {f"/{name}/": fields for name, fields in routes.items()}
-        document = make_document(self.version, {**ROUTES, **added_routes}, ["a"])
+        all_routes = {**ROUTES, **added_routes}
+        document = make_document(self.version, all_routes, ["a", "b"])
+        document["limits"]["header_timeout"] = HEADER_TIMEOUT
         for cluster in document["clusters"]:
             cluster["cold_per_s"] = COLD_RATE
         self.store.put_json("op", "config", document)
 
     async def _add_node(self, number: int) -> None:
         name, centre = f"n{number}", f"dc-{number % 3}"
-        ip = f"127.0.1.{number + 1}"
-        target = SoakTarget(node=name, data_centre=centre, work_seconds=0.02)
+        ip, service = f"127.0.1.{number + 1}", "ab"[number % 2]
+        target = SoakTarget(node=name, data_centre=centre, service=service)
         target.rng = random.Random(self._rng.random())
         await target.start(is_cold=False)
         store_proxy = FaultProxy(lambda: self.store_address)
@@ -189,7 +239,8 @@
         for proxy in (store_proxy, target_proxy):
             await proxy.open(ip)
         names = ("inbound", "outbound", "ready", "control")
-        settings = _make_settings(name, centre, ip, {n: choose_port() for n in names})
+        ports = {n: choose_port() for n in names}
+        settings = _make_settings(name, centre, service, ip, ports)
         settings["app_addr"] = str(target_proxy.address)
         settings["platform"]["address"] = str(store_proxy.address)
         ip, _, port = settings["listen"]["control"].rpartition(":")
@@ -224,9 +275,7 @@
     async def wait_ready(self, node: Node) -> None:
         """Wait until a node is ready; restart it if it exits unexpectedly."""
         while not await self.is_ready(node):
-            if node.process.poll() is not None:
-                node.unexpected_exits += 1
-                node.exit_statuses.append(node.process.returncode)
+            if node.note_exit():
                 node.start()
             await asyncio.sleep(0.05)
 
@@ -237,7 +286,8 @@
         for node in self.nodes:
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGKILL)
-            node.process.wait()
+            if node.process is not None:
+                node.process.wait()
             node.store_proxy.close()
             node.target_proxy.close()
             if node.target.is_up:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -22,6 +22,8 @@
     """Requests pass, answers are dropped."""
     DOWN_ONLY = "down-only"
     """Answers pass, requests are dropped."""
+    REFUSED = "refused"
+    """New connections end at once."""
 
 
 class FaultProxy:
@@ -63,6 +65,8 @@
     async def _serve(self, reader, writer) -> None:
         address = self._find_address()
         try:
+            if self.impairment == Impairment.REFUSED:
+                raise ConnectionRefusedError
             server_reader, server_writer = await asyncio.open_connection(
                 address.ip, address.port
             )
--- a/soak/target.py
+++ b/soak/target.py
@@ -1,9 +1,10 @@
-"""Soak target: records every run and announces its slots and cold time."""
+"""Soak target: few slots, recorded runs, and the answer that a path names."""
 
 import asyncio
 import itertools
 import random
 import time
+from collections.abc import Awaitable, Callable
 
 import attrs
 import msgspec
@@ -14,27 +15,22 @@
 from standins.meshfleet import send_request
 from standins.meshtarget import MeshTarget
 
-__all__ = ["LimitPeriod", "Run", "SoakTarget"]
+from .answers import ANSWERS, REFUSED_SHAPE
+from .connection import compute_digest
+from .records import Run
+
+__all__ = ["LEAVE_TRIES", "LimitPeriod", "SoakTarget"]
 
 HEARTBEAT_SECONDS = 0.5
 COLD_SECONDS = 2.0
 """Time for which a target is cold after a restart."""
-LONG_SHARE, LONG_SECONDS = 0.05, 0.5
-"""Share and time of the requests that take long, so that planned stops meet some."""
+SLOTS = 4
+MAX_WAITING = 4
+"""Requests that wait for a slot; further ones are refused."""
+LEAVE_TRIES = 4
 _instance_numbers = itertools.count(1)
 
 
-@attrs.frozen
-class Run:
-    """A request that a target started to run; times in monotonic seconds."""
-
-    request_id: str
-    path: str
-    instance: str
-    started_at: float
-    is_cold: bool
-
-
 @attrs.define
 class LimitPeriod:
     """A time in which an instance named a limit in its answers.
@@ -56,6 +52,8 @@
     data_centre: str = ""
     service: str = "a"
     announce_address: Address | None = None
+    call: Callable[[Run, float], Awaitable[bool]] | None = None
+    """Makes a call of a run through the target's node; returns whether it succeeded."""
     run_log: list[Run] = attrs.Factory(list)
     rng: random.Random = attrs.Factory(random.Random)
     lost_answer_share: float = 0.0
@@ -84,6 +82,8 @@
     """Start time of the current instance in Unix milliseconds."""
     cold_until: float = 0.0
     """Monotonic time."""
+    _slots: asyncio.Semaphore = attrs.Factory(lambda: asyncio.Semaphore(SLOTS))
+    _waiting: int = 0
     _sequence: int = 0
     _writers: set = attrs.Factory(set)
 
@@ -93,6 +93,7 @@
         self.started_ms = int(time.time() * 1000)
         self.state, self.left_at, self._sequence = "ready", None, 0
         self.is_leaving = False
+        self._slots, self._waiting = asyncio.Semaphore(SLOTS), 0
         self.cold_until = time.monotonic() + COLD_SECONDS if is_cold else 0.0
         previous = self.address
         await self.open(
@@ -124,7 +125,7 @@
             "address": str(self.address),
             "zone": self.data_centre,
             "version": "v1",
-            "slots": 4,
+            "slots": SLOTS,
             "state": self.state,
             "cold_left": f"{self._get_cold_ms()}ms",
             "seq": self._sequence,
@@ -132,11 +133,15 @@
         }
         return await self._send_rpc("instances.heartbeat", msgspec.json.encode(body))
 
-    async def leave(self) -> bool:
+    async def leave(self, tries: int = 1) -> bool:
         """Announce that the instance will stop; return whether it was acknowledged."""
         self.state = "draining"
         instance = self.instance
-        if not await self.announce():
+        for _ in range(tries):
+            if await self.announce():
+                break
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+        else:
             return False
         self.left_at = time.monotonic()
         self.leaves.append((instance, self.left_at))
@@ -156,6 +161,11 @@
         self.rate_limit = ""
         period.ended = time.monotonic()
 
+    async def end(self) -> None:
+        """Send the last message of a planned end, and stop."""
+        await self._send_rpc("instances.leave", b"{}")
+        self.crash()
+
     async def _send_rpc(self, call: str, body: bytes) -> bool:
         path = f"/cactusshed/rpc?call={call}&of={self.instance}"
         try:
@@ -189,25 +199,49 @@
         self.cold_ms = self._get_cold_ms()
         super()._write(writer, status, headers, body, **flags)
 
+    def render_notices(self) -> bytes:
+        """Return the headers by which answers name a limit or a leave."""
+        limit = f"server-limit: {self.rate_limit}\r\n" if self.rate_limit else ""
+        leaving = "server-leaving: 1\r\n" if self.is_leaving else ""
+        return f"{limit}{leaving}".encode()
+
     async def _run(self, reader, writer, path, headers) -> bool:
+        _, _, body = self.requests.pop()
         if self.rng.random() < self.silent_share:
             await reader.read()
             return False
+        if path.split("/")[2] == REFUSED_SHAPE or self._waiting >= MAX_WAITING:
+            self._write(writer, 503, headers, b"", sealed=False, refused=True)
+            return True
+        slots, end = self._slots, time.monotonic() + _read_left(headers)
+        self._waiting += 1
+        try:
+            await slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            if reader.at_eof():
+                return False
+            if time.monotonic() > end:
+                self._write(writer, 503, headers, b"", sealed=False, refused=True)
+                return True
+            return await self._run_in_slot(reader, writer, path, headers, body)
+        finally:
+            slots.release()
+
+    async def _run_in_slot(self, reader, writer, path, headers, body) -> bool:
+        started_at = time.monotonic()
         request_id = headers[b"x-attempt-id"].decode()
-        is_cold = time.monotonic() < self.cold_until
-        self.run_log.append(
-            Run(request_id, path, self.instance, time.monotonic(), is_cold)
-        )
+        is_cold = started_at < self.cold_until
+        digest = compute_digest(body)
+        run = Run(request_id, path, self.instance, started_at, is_cold, digest)
+        self.run_log.append(run)
         if self.rng.random() < self.endless_answer_share:
             await send_endlessly(writer, self.rng.choice(list(ENDLESS)))
-        return await super()._run(reader, writer, path, headers)
-
-    async def _work(self, reader, seconds: float) -> bool:
-        if self.rng.random() < LONG_SHARE:
-            seconds = LONG_SECONDS
-        return await super()._work(reader, seconds)
-
-    def _answer(self, writer, action, headers) -> bool:
+        *_, shape, work_ms = path.split("/")
+        if not await self._work(reader, int(work_ms) / 1000):
+            return False
+        left = started_at + _read_left(headers) - time.monotonic()
         if self.rng.random() < self.lost_answer_share:
             writer.transport.abort()
             return False
@@ -216,6 +250,11 @@
             self._write(writer, 200, other_headers, b"another")
         if self.rng.random() < self.stale_answer_share:
             self._write_stale_refusal(writer)
-        # The body names the request, so that clients can detect a wrong answer.
-        self._write(writer, 200, headers, headers[b"x-attempt-id"])
-        return True
+        is_kept = await ANSWERS[shape](self, writer, run, left)
+        run.ended = time.monotonic()
+        return is_kept
+
+
+def _read_left(headers: dict[bytes, bytes]) -> float:
+    """Return the time in seconds that the caller waits."""
+    return int(headers.get(b"x-deadline-ms", 1000)) / 1000
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,226 +1,106 @@
-"""Tests of the soak: a short run with a fixed seed, and its checks one by one."""
+"""Runs of the soak: a short one with a fixed seed, its plan, its end, its options."""
 
 import asyncio
+import itertools
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan
-
-from soak.checks import Observations, find_violations
-from soak.clients import Record
-from soak.faults import FAULTS, InjectedFault
+from testtools.matchers import Contains, Equals, GreaterThan
+
+from soak.__main__ import main
+from soak.answers import ANSWERS
+from soak.behaviours import CLIENTS
+from soak.clients import Clients
+from soak.faults import FAULTS
+from soak.injector import plan_faults
 from soak.runner import run_soak
-from soak.target import LimitPeriod, Run, SoakTarget
 
 NODES = 4
-SECONDS = 6.0
+SECONDS = 14.0
+"""Time in which two series of faults inject each kind once."""
 TIME_DEPENDENT = frozenset({"in-time"})
 """Guarantees on elapsed time, which a busy host may violate without a defect."""
 
 
 def test_short_soak_violates_no_guarantee(tmp_path):
-    """Run seed 1, with faults of all kinds in two overlapping series."""
+    """Run seed 1, with every fault, client and answer at least once."""
     report = asyncio.run(run_soak(1, NODES, SECONDS, tmp_path))
     violations = [v for v in report.violations if v.guarantee not in TIME_DEPENDENT]
     assert_that(violations, Equals([]))
     assert_that(report.runs, GreaterThan(100))
-    assert_that(sum(report.fault_counts.values()), GreaterThan(5))
-    assert_that(set(report.fault_counts) <= set(FAULTS), Equals(True))
-
-
-class _SingleTargetFleet:
-    """Stand-in for a fleet with one target."""
-
-    def __init__(self, target, unexpected_exits):
-        self.name = "n"
-        self.unexpected_exits = unexpected_exits
-        self.exit_statuses = [1] * unexpected_exits
-        self.target = target
-        self.nodes = [self]
-
-
-def make_observations(
-    records=(),
-    runs=(),
-    injected_faults=(),
-    evacuations=(),
-    leaves=(),
-    added_routes=(),
-    unexpected_exits=0,
-    limit_periods=(),
-    stated_leaves=(),
-):
-    """Return the observations of one target in the data centre `dc`."""
-    target = SoakTarget(node="n", data_centre="dc")
-    target.run_log = list(runs)
-    target.leaves = list(leaves)
-    target.limit_periods = list(limit_periods)
-    target.stated_leaves = dict(stated_leaves)
-    last = Record("late", "/read/x", "n", 1, 1000.0, 1000.1, 200, b"late")
-    served = [Run("late", "/read/x", "i", 1000.0, False)]
-    target.run_log += served
-    # A planned fault explains no violation; recovery is checked after its end.
-    harmless = InjectedFault("hup", "n", 0.0, 500.0)
-    injected_faults = [*injected_faults, harmless]
-    return Observations(
-        _SingleTargetFleet(target, unexpected_exits),
-        [*records, last],
-        injected_faults,
-        list(evacuations),
-        dict(added_routes),
+    shapes = {f"answer {name}" for name in ANSWERS}
+    assert_that(set(FAULTS) - set(report.fault_counts), Equals(set()))
+    covered = set(report.behaviour_counts)
+    assert_that((set(CLIENTS) | shapes | {"calls"}) - covered, Equals(set()))
+    print(report.fault_counts, report.behaviour_counts)
+
+
+def test_seed_gives_the_same_plan():
+    """Faults with their draws, and the paths and bodies of a client."""
+
+    class Nodes:
+        nodes = ()
+
+    def plan(seed):
+        rng = random.Random(seed)
+        client = Clients(Nodes, random.Random(rng.random())).open_client("steady")
+        requests = []
+        for _ in range(50):
+            client.choose_node()
+            path = client.choose_path()
+            requests.append((path, client.draw_body(path)))
+        faults = itertools.islice(plan_faults(rng, tuple(FAULTS), 5), 90)
+        return requests, list(faults)
+
+    assert_that(plan(7), Equals(plan(7)))
+    assert_that(plan(7) == plan(8), Equals(False))
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_broken_off_run_leaves_no_process(tmp_path, number):
+    """The nodes end with the soak, also while it still starts them."""
+    command = [sys.executable, "-m", "soak", "--seed", "1", "--nodes", "3"]
+    soak = subprocess.Popen(
+        [*command, "--logs", tmp_path],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
     )
-
-
-def make_record(request_id="r", path="/read/x", status=200, body=None, **fields):
-    """Return the record of a request sent at 10 s."""
-    values = {"node": "n", "incarnation": 1, "sent": 10.0, "ended": 10.1, **fields}
-    body = request_id.encode() if body is None else body
-    return Record(request_id, path, status=status, body=body, **values)
-
-
-def make_run(request_id="r", path="/read/x", started_at=10.0, is_cold=False):
-    """Return a run of the instance `i`."""
-    return Run(request_id, path, "i", started_at, is_cold)
+    try:
+        children = []
+        while len(children) < 3:
+            time.sleep(0.05)
+            path = Path(f"/proc/{soak.pid}/task/{soak.pid}/children")
+            children = path.read_text().split()
+        time.sleep(2.0 if number == signal.SIGINT else 0.0)
+        soak.send_signal(number)
+        assert_that(soak.wait(10.0), GreaterThan(0))
+    finally:
+        soak.kill()
+    left = [pid for pid in children if Path(f"/proc/{pid}").exists()]
+    assert_that(left, Equals([]))
 
 
 @pytest.mark.parametrize(
-    ("guarantee", "observations"),
+    ("option", "value"),
     [
-        (
-            "at-most-once",
-            {
-                "records": [make_record(path="/write/z")],
-                "runs": [make_run(path="/write/z")] * 2,
-            },
-        ),
-        (
-            "true-refusal",
-            {
-                "records": [make_record(path="/write/z", status=503)],
-                "runs": [make_run(path="/write/z")],
-            },
-        ),
-        ("asked-for", {"runs": [make_run("never-sent")]}),
-        ("own-answer", {"records": [make_record(body=b"another")]}),
-        ("in-time", {"records": [make_record(ended=12.0)]}),
-        (
-            "leave",
-            {
-                "records": [make_record()],
-                "runs": [make_run(started_at=12.5)],
-                "leaves": [("i", 10.0)],
-            },
-        ),
-        (
-            "evacuation",
-            {
-                "records": [make_record()],
-                "runs": [make_run(started_at=16.0)],
-                "evacuations": [("dc", 10.0, 20.0)],
-            },
-        ),
-        (
-            "cold",
-            {
-                "records": [make_record()],
-                "runs": [
-                    make_run(started_at=10 + n / 100, is_cold=True) for n in range(30)
-                ],
-            },
-        ),
-        (
-            "limit",
-            {
-                "records": [make_record()],
-                "runs": [make_run(started_at=10 + n / 10) for n in range(12)],
-                "limit_periods": [LimitPeriod("i", 1.0, 7.0)],
-            },
-        ),
-        (
-            "stated-leave",
-            {
-                "records": [
-                    make_record("r", sent=10.0, ended=10.1),
-                    make_record("s", sent=12.2, ended=12.3),
-                ],
-                "runs": [make_run("r"), make_run("s", started_at=12.2)],
-                "stated_leaves": [("i", 9.0)],
-            },
-        ),
-        (
-            "no-return",
-            {
-                "records": [
-                    make_record("r", path="/v3/x"),
-                    make_record("s", path="/v3/x", status=404, sent=11.0, ended=11.1),
-                ],
-            },
-        ),
-        (
-            "in-force",
-            {
-                "records": [make_record(path="/v4/x", status=404)],
-                "added_routes": [("v4", 7.5)],
-            },
-        ),
-        (
-            "lost",
-            {
-                "records": [make_record(status=0)],
-                "injected_faults": [InjectedFault("term", "n", 9.0, 12.0)],
-            },
-        ),
-        (
-            "lost",
-            {
-                "records": [make_record(status=502)],
-                "injected_faults": [InjectedFault("term", "n", 9.0, 12.0)],
-            },
-        ),
-        ("own-end", {"unexpected_exits": 1}),
-        (
-            "recovery",
-            {
-                "records": [
-                    make_record(f"q{n}", status=503, sent=900.0, ended=900.1)
-                    for n in range(9)
-                ],
-                "injected_faults": [InjectedFault("kill", "n", 9.0, 12.0)],
-            },
-        ),
+        ("--nodes", "1"),
+        ("--seconds", "nan"),
+        ("--seconds", "-1"),
+        ("--only", "trem"),
+        ("--seed", "x"),
+        ("--logs", __file__),
     ],
 )
-def test_each_violation_is_detected(guarantee, observations):
-    """Observations that violate one guarantee yield exactly that violation."""
-    found = {
-        violation.guarantee
-        for violation in find_violations(make_observations(**observations))
-    }
-    assert_that(found, Equals({guarantee}))
-
-
-def test_restart_of_the_first_node_excuses_it():
-    """A node that has restarted need not know what answers said before."""
-    observations = make_observations(
-        records=[
-            make_record("r", sent=10.0, ended=10.1),
-            *(make_record(f"s{n}", sent=12.2, ended=12.3) for n in range(12)),
-        ],
-        runs=[
-            make_run("r"),
-            *(make_run(f"s{n}", started_at=12.2) for n in range(12)),
-        ],
-        limit_periods=[LimitPeriod("i", 1.0, 7.0)],
-        stated_leaves=[("i", 9.0)],
-        injected_faults=[InjectedFault("kill", "n", 10.5, 11.0)],
-    )
-    assert_that(find_violations(observations), Equals([]))
-
-
-def test_unplanned_fault_excuses_a_lost_answer():
-    """An answer lost right after a kill is not a violation."""
-    observations = make_observations(
-        records=[make_record(status=0)],
-        injected_faults=[InjectedFault("kill", "n", 9.0, 9.5)],
-    )
-    assert_that(find_violations(observations), Equals([]))
+def test_bad_option_is_named_with_its_value(option, value):
+    """An error names both, and nothing is started."""
+    result = CliRunner().invoke(main, ["--seed", "1", option, value])
+    assert_that(result.exit_code, Equals(2))
+    assert_that(result.output, Contains(option))
+    assert_that(result.output.replace("\n", ""), Contains(value))
