A late leave of an earlier process leaves the present one in use

A target may start again under its id, and what it said of itself may arrive late. A leave that arrived after the restart closed the gate of the present process for as long as it ran: callers lost its capacity. A late leave also replaced the record of a later one, so that a heartbeat of the process that had left could open the gate again, and a leave without a start time stood for every later process of the id.

Cause: leaves were compared by id only.

A leave now counts for the process whose start time it names and for those that started before; without a start time, for the present one. A node that does not know its target yet records the leave, as before, and opens for a process that started later.

The same on the product's path: an announcement of another incarnation was taken for a restart, whenever its process had started. One whose process started before the known one, by its uptime, is now ignored.

--- a/cactusshed/member/announcements.py
+++ b/cactusshed/member/announcements.py
@@ -99,12 +99,19 @@
         self._by_name: dict[str, LocalTarget] = {}
 
     def apply(self, announcement: Announcement, now: float) -> LocalTarget:
-        """Store an announcement and return the target that it describes."""
+        """Store an announcement and return the target that it describes.
+
+        A late one of an earlier process changes nothing; the known target is returned.
+        """
         if (
             announcement.target not in self._by_name
             and len(self._by_name) >= MAX_TARGETS
         ):
             raise Malformed("too many targets on this host", step="announce")
+        known = self._by_name.get(announcement.target)
+        if known is not None and _is_late(announcement, known, now):
+            log_event("announcement-late", target=known.name)
+            return known
         target = LocalTarget(
             announcement.target,
             announcement.service,
@@ -155,3 +162,9 @@
     def list_all(self) -> list[LocalTarget]:
         """Return every target on this host."""
         return list(self._by_name.values())
+
+
+def _is_late(announcement: Announcement, known: LocalTarget, now: float) -> bool:
+    """Return whether an announcement is that of an earlier process of a target."""
+    is_other = announcement.incarnation != known.incarnation
+    return is_other and now - announcement.uptime < known.last_seen - known.uptime
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -237,11 +237,10 @@
 
     async def _handle_leave(self, name: str, start_time: int) -> Response:
         # A node that has just started may not know yet that this is its target.
-        self._leaves.add(name, start_time)
         if not self.state.name:
             self.set_state(name=name)
             self.gate.instance = name
-        if name != self.state.name:
+        if not self._leaves.note(name, start_time, self.state):
             self.counters.add("announcements_old")
             log_line("leave-of-another", instance=name, known=self.state.name)
             return make_response(200, b"{}")
