Errors of a new version are tested at each stage, and a probe gives it load

The test tolerates 2 % of failures besides the old rate, because lost answers are failures as well, and counts the good answers of the small shares in. Shares followed time alone: a version got three tenths of all requests in the time between the full share and the closing.

Now gates also count errors: failures that the target answered by itself, not at its deadline nor after a failed call of its own. The stages hold a probe at the full share of 6.5 % of the time, which each node ends by its own clock, so that the results are known before a tenth of the requests is spent. A late move skips no stage.

`test_new_version_gets_less_than_a_tenth` integrates the stages as they are run, instead of the table, and its bound is the same.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -15,6 +15,7 @@
 from ..platform import headers as header_names
 from ..policy.plannedstop import PlannedStop
 from .callplan import CallPlan, Outcome
+from .crashes import RunningCall
 from .dispatch import Dispatcher
 from .frames import ANSWERED, NOT_RUN, Call, Result
 from .messages import Request, Response, make_response
@@ -79,6 +80,16 @@
 
     async def serve(self, request: Request) -> Response:
         """Serve one request."""
+        request_id = request.find(header_names.ATTEMPT_ID) or b""
+        parent = self.dispatcher.gate.crash_tracker.find_parent(request_id)
+        if parent is not None:
+            parent.unsuccessful_calls += 1
+        response = await self._serve(request, parent)
+        if parent is not None and 200 <= response.status < 300:
+            parent.unsuccessful_calls -= 1
+        return response
+
+    async def _serve(self, request: Request, parent: RunningCall | None) -> Response:
         table = self.records.table
         if not table.version:
             self.counters.add("refused_not_ready")
@@ -96,15 +107,15 @@
         if not request.find(header_names.ATTEMPT_ID):
             self.counters.add("refused_no_id")
             return make_response(400)
-        plan = self._make_plan(request, route)
+        plan = self._make_plan(request, route, parent)
         if not self.stop.accepts(plan.deadline) and not plan.call.is_nested:
             self.counters.add("refused_leaving")
             return self._refuse(LEAVING_RETRY_SECONDS)
         outcome = await self._run(plan)
-        if plan.parent_route:
+        if parent is not None:
             refused = outcome.result.outcome == NOT_RUN
             backpressure = self.dispatcher.gate.backpressure
-            backpressure.note_call(plan.parent_route, refused=refused)
+            backpressure.note_call(parent.call.route, refused=refused)
         return self._respond(plan, route, outcome, request)
 
     def _find_route(self, request: Request) -> Route | None:
@@ -115,7 +126,9 @@
         path = request.path.partition(b"?")[0].decode("latin-1")
         return self.records.table.find_route(host, path)
 
-    def _make_plan(self, request: Request, route: Route) -> CallPlan:
+    def _make_plan(
+        self, request: Request, route: Route, parent: RunningCall | None
+    ) -> CallPlan:
         # The client's time has been running since it began to send, also while the body
         # arrived and while the request waited behind others of its connection.
         now = request.started
@@ -124,7 +137,6 @@
         self.longest_timeout[route.name] = longest_timeout
         service = choose_service(route, self.rng.random())
         request_id = request.find(header_names.ATTEMPT_ID)
-        parent = self.dispatcher.gate.crash_tracker.find_parent(request_id)
         call = Call(
             number=0,
             request_id=request_id,
@@ -160,7 +172,6 @@
             route.max_attempts,
             lambda: self.moves.choose_version(service),
             lambda version: self.moves.get_fallback_version(service, version),
-            parent.call.route if parent is not None else "",
         )
 
     async def _run(self, plan: CallPlan) -> Outcome:
--- a/cactusshed/mesh/callplan.py
+++ b/cactusshed/mesh/callplan.py
@@ -25,8 +25,6 @@
     """Returns the version that the call goes to; empty for any."""
     get_fallback_version: Callable[[str], str]
     """Returns the version to use when the chosen one has no capacity; may be empty."""
-    parent_route: str = ""
-    """Route of the request that makes this call; empty for a client's request."""
 
 
 @attrs.define
--- a/cactusshed/mesh/crashes.py
+++ b/cactusshed/mesh/crashes.py
@@ -22,13 +22,15 @@
     return xxhash.xxh3_128_digest(content)
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class RunningCall:
     """A request in flight at the target, and its soft deadline."""
 
     call: Call
     soft_deadline: float
     """Soft deadline in monotonic seconds."""
+    unsuccessful_calls: int = 0
+    """Calls made by the request that have not succeeded, unfinished ones included."""
 
 
 @attrs.define
@@ -44,12 +46,13 @@
     _failed: list[tuple[float, Call, bool]] = attrs.Factory(list)
     """Time of each lost connection, its call, and whether no other was in flight."""
 
-    def begin(self, call: Call, soft_deadline: float, now: float) -> None:
+    def begin(self, call: Call, soft_deadline: float, now: float) -> RunningCall:
         """Record that a request is sent to the target."""
-        self._in_flight[call.request_id] = RunningCall(call, soft_deadline)
+        running = self._in_flight[call.request_id] = RunningCall(call, soft_deadline)
         self._failed = [
             entry for entry in self._failed if now - entry[0] <= CRASH_WINDOW_SECONDS
         ]
+        return running
 
     def end(self, call: Call) -> None:
         """Record that a request is no longer in flight."""
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -13,7 +13,7 @@
 from ..policy.coldstart import ColdStartGuard
 from ..policy.quarantine import Quarantine
 from ..policy.silence import SentRequest, SilenceDetector
-from .crashes import CrashTracker, make_fingerprint
+from .crashes import CrashTracker, RunningCall, make_fingerprint
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
 from .notices import TargetNotices
 from .pool import ConnectionPool
@@ -31,6 +31,8 @@
 """Statuses by which callers are promised that their request has not run."""
 MIN_FAILURE_STATUS = 500
 """Lowest status of an answer that counts as a failure."""
+TIMEOUT_STATUS = 504
+"""Status by which a target answers that the deadline has passed."""
 
 
 def is_success(result: Result) -> bool:
@@ -88,7 +90,7 @@
         started = read_monotonic()
         deadline = ticket.deadline
         limit = deadline - started + ANSWER_GRACE_SECONDS
-        self.crash_tracker.begin(call, ticket.soft_deadline, started)
+        running = self.crash_tracker.begin(call, ticket.soft_deadline, started)
         upstream: Upstream | None = None
         answer: Answer | None = None
         report = on_silent and self._make_report(call, deadline, started, on_silent)
@@ -118,7 +120,7 @@
             self.crash_tracker.end(call)
             self.silence.remove(sent, was_answered=answer is not None)
         self.pool.release(upstream)
-        return self._read_answer(call, answer, started), answer
+        return self._read_answer(running, answer, started), answer
 
     def _make_report(
         self,
@@ -161,8 +163,11 @@
         load = self.get_load()
         return Result(call.number, UNKNOWN, load, code=code, reached_target=True)
 
-    def _read_answer(self, call: Call, answer: Answer, started: float) -> Result:
+    def _read_answer(
+        self, running: RunningCall, answer: Answer, started: float
+    ) -> Result:
         """Return the result of a complete answer of the target."""
+        call = running.call
         if answer.status == 421:
             log_line(
                 "other-instance", wanted=self.get_instance(), request=call.request_id
@@ -177,7 +182,13 @@
             return result
         denies_run = answer.status in NOT_RUN_STATUSES
         failed = denies_run or answer.status >= MIN_FAILURE_STATUS
-        self._record_answer(call, started, failed=failed)
+        # A failed call of the target or its deadline may be the cause of the failure.
+        is_error = (
+            failed
+            and answer.status != TIMEOUT_STATUS
+            and not running.unsuccessful_calls
+        )
+        self._record_answer(call, started, failed=failed, is_error=is_error)
         if denies_run:
             # The target ran the request, so its status would be a false promise.
             self.counters.add("answers_denying_run")
@@ -199,7 +210,9 @@
             reached_target=True,
         )
 
-    def _record_answer(self, call: Call, started: float, *, failed: bool) -> None:
+    def _record_answer(
+        self, call: Call, started: float, *, failed: bool, is_error: bool = False
+    ) -> None:
         now = read_monotonic()
         seconds = None if self.cold.is_cold(now) else now - started
-        self.tallies.record(call.route, seconds, failed)
+        self.tallies.record(call.route, seconds, failed=failed, is_error=is_error)
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -254,6 +254,8 @@
     running: int
     routes: list[tuple[str, int, int, list[int]]]
     """Route, calls, failures, and calls by latency bucket."""
+    errors: dict[str, int] = {}
+    """Failures by route that the target answered by itself; see `Sample`."""
 
 
 class Ping(msgspec.Struct, array_like=True, tag=11):
--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -13,24 +13,15 @@
 from ..clock import read_monotonic
 from ..errors import CactusError, ConditionFailed
 from ..observe.lines import log_line
-from ..platform.rowkeys import COMPLETE as STATUS_COMPLETE
-from ..platform.rowkeys import RETURNED as STATUS_RETURNED
-from ..platform.rowkeys import RUNNING as STATUS_RUNNING
-from ..platform.rowkeys import (
-    STATUS_TABLE,
-    SYSTEM_TABLE,
-    encode_status,
-    make_status_key,
-)
-from ..platform.rows import ABSENT, ConditionalPut, RowStore
-from ..policy.comparison import compare_versions
-from ..policy.rollout import CLOSING, COMPLETE, REVERTED, Move, advance_move
+from ..platform.rows import ABSENT, RowStore
+from ..policy.errorevidence import ErrorEvidence
+from ..policy.rollout import COMPLETE, REVERTED, Move, advance_move
 from .frames import MoveUpdate
-from .gate import Gate
-from .moves import Moves, TrackedMove, decode_move, encode_move
+from .moveevidence import MoveEvidence
+from .moverows import read_move, read_moves, write_move
+from .moves import Moves, TrackedMove, encode_move
 from .peers import Peers
 from .records import Records, StoredOrder
-from .tallies import make_samples
 
 __all__ = ["MoveController"]
 
@@ -42,12 +33,6 @@
 """Age of a row at which another node takes over the move: two missed renewals."""
 RANK_DELAY_SECONDS = 0.5
 """Additional delay per rank of the node, so that two nodes don't take over one move."""
-MIN_CLOSING_SECONDS = 0.6
-"""Minimum time for which the old version is closed before the move completes: the
-time for one update of the move and two reports of the gates."""
-MAX_REPORT_AGE_SECONDS = 1.5
-"""Age above which the report of a gate counts as missing."""
-MOVE_ROW_PREFIX = "move/"
 
 
 @attrs.define(eq=False)
@@ -55,12 +40,11 @@
     """Executes the moves that this node holds, and takes over abandoned ones."""
 
     node: str
-    service: str
     store: RowStore
     records: Records
-    gate: Gate
     peers: Peers
     moves: Moves
+    evidence: MoveEvidence
     _orders_seen: dict[str, tuple[int, float]] = attrs.Factory(dict)
     """Version of each service's order, and the monotonic time it was first seen."""
 
@@ -111,17 +95,15 @@
 
     async def _take_over(self, service: str, order: StoredOrder) -> None:
         """Read the row, then start or continue the move as its holder."""
-        page = await self.store.read_table(SYSTEM_TABLE, f"{MOVE_ROW_PREFIX}{service}")
-        rows = [row for row in page.rows if row.key == f"{MOVE_ROW_PREFIX}{service}"]
-        version = rows[0].version if rows else ABSENT
-        stored = decode_move(rows[0].value) if rows else None
+        version, stored = await read_move(self.store, service)
         is_newer = stored is not None and self.moves.merge_move(stored, version)
         if is_newer and stored.order >= order.version:
             # Another node has advanced or ended the move in the meantime.
             return
         tracked = self.moves.tracked.get(service)
         if tracked is not None and tracked.move.order >= order.version:
-            move = attrs.evolve(tracked.move, holder=self.node)
+            elapsed = self._get_elapsed(tracked)
+            move = attrs.evolve(tracked.move, holder=self.node, elapsed=elapsed)
             tracked.version = version
         else:
             move = self._start_move(service, order, tracked)
@@ -129,6 +111,7 @@
                 tracked = self.moves.tracked[service] = TrackedMove(move)
             tracked.version = version
             tracked.checks = 0
+            tracked.errors = ErrorEvidence()
         await self._write(tracked, move)
 
     def _start_move(
@@ -149,89 +132,28 @@
             holder=self.node,
         )
 
+    def _get_elapsed(self, tracked: TrackedMove) -> float:
+        since_order = read_monotonic() - self._orders_seen[tracked.move.service][1]
+        return max(tracked.get_elapsed(), since_order)
+
     async def _advance(self, tracked: TrackedMove, order: StoredOrder) -> None:
         now = read_monotonic()
         move = tracked.move
-        elapsed = move.elapsed + now - tracked.updated_at
-        elapsed = max(elapsed, now - self._orders_seen[move.service][1])
-        reason = self._compare_versions(tracked)
         advanced = advance_move(
             move,
-            elapsed,
-            reason=reason,
-            has_targets=self._has_targets(move),
-            is_drained=self._is_drained(tracked),
+            self._get_elapsed(tracked),
+            reason=self.evidence.find_reason(tracked),
+            has_targets=self.evidence.has_targets(move),
+            is_drained=self.evidence.is_drained(tracked),
         )
         if advanced.state == REVERTED:
             self._roll_back(tracked, advanced)
             await self._write_rollback(tracked)
             return
-        is_changed = (advanced.state, advanced.share) != (move.state, move.share)
+        is_changed = _get_step(advanced) != _get_step(move)
         if is_changed or now - tracked.written_at > RENEW_SECONDS:
             await self._write(tracked, advanced)
 
-    def _compare_versions(self, tracked: TrackedMove) -> str:
-        """Return the reason to reject the new version, or '' if there is none."""
-        move = tracked.move
-        now = read_monotonic()
-        reports = [
-            report
-            for report, received in self.moves.reports.values()
-            if report.service == move.service
-        ]
-        old = make_samples([r for r in reports if r.version == move.source])
-        new = make_samples([r for r in reports if r.version == move.to])
-        tracked.checks += 1
-        comparison = compare_versions(old, new, tracked.checks)
-        if comparison.bad:
-            log_line(
-                "version-bad",
-                service=move.service,
-                version=move.to,
-                reason=comparison.reason,
-                look=tracked.checks,
-                oldest_report_ms=int(
-                    1000
-                    * max(
-                        (now - received for _, received in self.moves.reports.values())
-                    )
-                ),
-            )
-        return comparison.reason if comparison.bad else ""
-
-    def _has_targets(self, move: Move) -> bool:
-        return any(
-            state.is_open and state.version == move.to
-            for state in self.moves.list_targets(move.service)
-        )
-
-    def _is_drained(self, tracked: TrackedMove) -> bool:
-        """Return whether all gates of the old version report no running calls."""
-        move = tracked.move
-        now = read_monotonic()
-        if move.state != CLOSING:
-            tracked.last_open_at = now
-            return False
-        if now - tracked.last_open_at < MIN_CLOSING_SECONDS:
-            return False
-        names = [
-            member.node
-            for member in self.peers.list_connected(move.service)
-            if member.state.version == move.source
-            and not member.state.leave_acknowledged
-        ]
-        if move.service == self.service and self.gate.version == move.source:
-            names.append(self.node)
-        for name in names:
-            report, received = self.moves.reports.get(name, (None, 0.0))
-            if (
-                report is None
-                or now - received > MAX_REPORT_AGE_SECONDS
-                or report.running
-            ):
-                return False
-        return True
-
     def _roll_back(self, tracked: TrackedMove, move: Move) -> None:
         """Stop using a bad version on all nodes, before the row is written."""
         tracked.move = move
@@ -248,19 +170,16 @@
             takeover_delay = TAKEOVER_SECONDS * (1 + self._get_node_rank())
             if read_monotonic() - tracked.updated_at < takeover_delay:
                 return
-        page = await self.store.read_table(
-            SYSTEM_TABLE, f"{MOVE_ROW_PREFIX}{tracked.move.service}"
-        )
-        for row in page.rows:
-            tracked.version = row.version
-            stored = decode_move(row.value)
-            is_same = stored is not None and stored.order == tracked.move.order
-            if is_same and stored.has_ended:
-                tracked.written_at = read_monotonic()
-                tracked.updated_at = min(tracked.updated_at, tracked.written_at)
-                tracked.move = stored
-                self.moves.apply_to_gate()
-                return
+        version, stored = await read_move(self.store, tracked.move.service)
+        if version != ABSENT:
+            tracked.version = version
+        is_same = stored is not None and stored.order == tracked.move.order
+        if is_same and stored.has_ended:
+            tracked.written_at = read_monotonic()
+            tracked.updated_at = min(tracked.updated_at, tracked.written_at)
+            tracked.move = stored
+            self.moves.apply_to_gate()
+            return
         await self._write(tracked, attrs.evolve(tracked.move, holder=self.node))
 
     async def _write(self, tracked: TrackedMove, move: Move) -> None:
@@ -268,26 +187,12 @@
 
         A write that fails or loses its condition is followed by a read of the row.
         """
-        puts = [
-            ConditionalPut(
-                SYSTEM_TABLE,
-                f"{MOVE_ROW_PREFIX}{move.service}",
-                encode_move(move),
-                tracked.version,
-            )
-        ]
-        status = _choose_status(move)
         is_new = tracked.version == ABSENT or tracked.move.order != move.order
-        if is_new or move.has_ended or tracked.status_version is None:
-            version = await self._read_status(move.service)
-            key = make_status_key(move.service)
-            puts.append(
-                ConditionalPut(
-                    STATUS_TABLE, key, encode_status(status, move.to), version
-                )
-            )
+        with_status = is_new or move.has_ended or tracked.status_version is None
         try:
-            tracked.version = await self.store.write(puts)
+            tracked.version = await write_move(
+                self.store, move, tracked.version, with_status=with_status
+            )
         except ConditionFailed:
             log_line("move-overtaken", service=move.service, state=move.state)
             tracked.updated_at = read_monotonic()
@@ -303,17 +208,18 @@
         tracked.written_at = read_monotonic()
         if move.state == REVERTED:
             tracked.updated_at = min(tracked.updated_at, tracked.written_at)
-        state = (tracked.move.state, tracked.move.share)
+        step = _get_step(tracked.move)
         tracked.move = move
         if move.state != REVERTED:
             tracked.updated_at = tracked.written_at
-        if state != (move.state, move.share):
+        if step != _get_step(move):
             log_line(
                 "move",
                 service=move.service,
                 to=move.to,
                 source=move.source,
                 state=move.state,
+                stage=move.stage,
                 share=move.share,
                 elapsed=round(move.elapsed, 2),
                 row=tracked.version,
@@ -322,22 +228,15 @@
         self.moves.apply_to_gate()
 
     async def _reload_row(self, tracked: TrackedMove) -> None:
-        service = tracked.move.service
-        page = await self.store.read_table(SYSTEM_TABLE, f"{MOVE_ROW_PREFIX}{service}")
-        for row in page.rows:
-            stored = decode_move(row.value)
-            if row.key == f"{MOVE_ROW_PREFIX}{service}" and stored is not None:
-                if tracked.move.state != REVERTED or stored.has_ended:
-                    tracked.move = stored
-                tracked.version = row.version
-                tracked.updated_at = read_monotonic()
+        version, stored = await read_move(self.store, tracked.move.service)
+        # The time of a row that is known runs since it was received.
+        if stored is not None and version != tracked.version:
+            if tracked.move.state != REVERTED or stored.has_ended:
+                tracked.move = stored
+            tracked.version = version
+            tracked.updated_at = read_monotonic()
         self.moves.apply_to_gate()
 
-    async def _read_status(self, service: str) -> int:
-        key = make_status_key(service)
-        page = await self.store.read_table(STATUS_TABLE, key)
-        return next((row.version for row in page.rows if row.key == key), ABSENT)
-
     async def _load_moves(self) -> None:
         """Read all moves from the store, retrying until it is reachable.
 
@@ -345,20 +244,16 @@
         """
         while True:
             try:
-                page = await self.store.read_table(SYSTEM_TABLE, MOVE_ROW_PREFIX)
+                stored = await read_moves(self.store)
                 break
             except CactusError:
                 # The task that follows the feed logs that the store is unreachable.
                 self.moves.apply_to_gate()
                 self.moves.report()
                 await asyncio.sleep(STEP_SECONDS)
-        for row in page.rows:
-            move = decode_move(row.value)
-            if move is not None:
-                self.moves.merge_move(move, row.version)
+        for move, version in stored:
+            self.moves.merge_move(move, version)
 
 
-def _choose_status(move: Move) -> str:
-    if move.state == COMPLETE:
-        return STATUS_COMPLETE
-    return STATUS_RETURNED if move.state == REVERTED else STATUS_RUNNING
+def _get_step(move: Move) -> tuple[str, int, float]:
+    return move.state, move.stage, move.share
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -11,6 +11,7 @@
 from ..errors import Malformed
 from ..observe.lines import log_line
 from ..platform.rows import ABSENT
+from ..policy.errorevidence import ErrorEvidence
 from ..policy.rollout import CLOSING, COMPLETE, REVERTED, Move, choose_version
 from .frames import MoveUpdate, TargetState, VersionTallies
 from .gate import Gate
@@ -36,6 +37,11 @@
     """Number of interim checks of the new version."""
     last_open_at: float = 0.0
     """Last time at which the old version was still open to new requests."""
+    errors: ErrorEvidence = attrs.Factory(ErrorEvidence)
+
+    def get_elapsed(self) -> float:
+        """Return the seconds since the order, by this node's clock."""
+        return self.move.elapsed + read_monotonic() - self.updated_at
 
 
 @attrs.define(eq=False)
@@ -61,7 +67,7 @@
         order = self.records.orders.get(service)
         if tracked is not None:
             # This also holds while a later order is not being executed yet.
-            return choose_version(tracked.move, self.rng)
+            return choose_version(tracked.move, tracked.get_elapsed(), self.rng)
         return self.find_source(service, order)
 
     def find_source(self, service: str, order: StoredOrder | None) -> str:
@@ -155,7 +161,10 @@
     def send_all(self, send) -> None:
         """Send all moves through `send`, the send method of a node's link."""
         for tracked in self.tracked.values():
-            send(MoveUpdate(encode_move(tracked.move), tracked.version))
+            move = tracked.move
+            if not move.has_ended:
+                move = attrs.evolve(move, elapsed=tracked.get_elapsed())
+            send(MoveUpdate(encode_move(move), tracked.version))
 
     def record_report(self, tallies: VersionTallies) -> None:
         """Store the latest report of a gate."""
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -31,6 +31,7 @@
 from .listener import Listener
 from .member import Member
 from .movecontroller import MoveController
+from .moveevidence import MoveEvidence
 from .moves import Moves
 from .peers import Peers
 from .pool import ConnectionPool
@@ -232,14 +233,16 @@
             self.peers,
             lambda: self.announcements.state,
         )
+        evidence = MoveEvidence(
+            settings.node, settings.service, self.gate, self.peers, self.moves
+        )
         self.move_controller = MoveController(
             settings.node,
-            settings.service,
             self.store,
             self.records,
-            self.gate,
             self.peers,
             self.moves,
+            evidence,
         )
         candidates = Candidates(
             settings.node,
--- a/cactusshed/policy/comparison.py
+++ b/cactusshed/policy/comparison.py
@@ -36,7 +36,8 @@
 class Sample:
     """Calls of one version on one route at one target within a time window.
 
-    `times` counts calls by time bucket.
+    `times` counts calls by time bucket. `errors` are the failures that the target
+    answered by itself: not a lost or late answer, nor one for a failed call of its own.
     """
 
     route: str
@@ -44,6 +45,7 @@
     calls: int
     failures: int
     times: tuple[int, ...]
+    errors: int = 0
 
 
 @attrs.frozen
--- a/cactusshed/policy/rollout.py
+++ b/cactusshed/policy/rollout.py
@@ -2,9 +2,9 @@
 
 Load pattern: the new version is bad immediately, after some seconds, or only
 under load. It first gets a small share, long enough for slow answers to become
-visible. The share then grows in steps, so that a bad version gets less than a
-tenth of all requests before the last step. The last step leaves time to close
-the old version.
+visible. A probe then sends it all requests, for a moment that every node ends by its
+own clock, so that failures under load show while the version gets less than a tenth
+of all requests. The last stage leaves time to close the old version.
 """
 
 import random
@@ -18,7 +18,9 @@
     "COMPLETE",
     "REVERTED",
     "RUNNING",
+    "STAGES",
     "Move",
+    "Stage",
     "advance_move",
     "choose_version",
     "compute_share",
@@ -29,11 +31,31 @@
 COMPLETE = "complete"
 REVERTED = "returned"
 
-SHARE_STEPS = ((0.0, 0.04), (0.45, 0.12), (0.53, 0.4), (0.6, 1.0))
-"""Pairs of (fraction of the time, share of the new version from then on).
 
-Before the last step the new version gets 0.04 * 0.45 + 0.12 * 0.08
-+ 0.4 * 0.07 = 0.056 of the requests; a bad version may get up to a tenth."""
+@attrs.frozen
+class Stage:
+    """Step of a move; `start`, `hold` and `probe` are fractions of the move's time.
+
+    A probe gives the version its share for the time `probe` only.
+    """
+
+    start: float
+    share: float
+    hold: float
+    """Minimum time before the next stage, also for a move that is late."""
+    probe: float | None = None
+
+
+STAGES = (
+    Stage(0.0, 0.04, 0.1),
+    Stage(0.4, 0.12, 0.05),
+    Stage(0.45, 1.0, 0.12, probe=0.065),
+    Stage(0.57, 1.0, 0.15),
+)
+"""Stages of a move. Before the last one the new version gets 0.04 * 0.4 + 0.12 * 0.05
++ 0.065 + 0.04 * 0.055 = 0.089 of the requests; a bad version may get a tenth."""
+REST_SHARE = 0.04
+"""Share of the new version after a probe."""
 CLOSING_FRACTION = 0.75
 """Fraction of the time after which the old version gets no new requests."""
 
@@ -43,8 +65,9 @@
     """A move of a service from one version to another.
 
     `order` is the version of the operator's row; it distinguishes a later order
-    for the same service. `elapsed` is the time since the order, in seconds.
-    Moves are stored as JSON under these field names.
+    for the same service. `elapsed` is the time since the order, in seconds, and
+    `stage_start` its value at the start of the stage. Moves are stored as JSON
+    under these field names.
     """
 
     service: str
@@ -57,6 +80,8 @@
     elapsed: FiniteNumber = 0.0
     holder: str = ""
     reason: str = ""
+    stage: Count = 0
+    stage_start: FiniteNumber = 0.0
 
     @property
     def has_ended(self) -> bool:
@@ -64,9 +89,44 @@
         return self.state in (COMPLETE, REVERTED)
 
 
-def compute_share(fraction: float) -> float:
-    """Return the new version's share after `fraction` of the time."""
-    return [share for start, share in SHARE_STEPS if fraction >= start][-1]
+def _get_stage(move: Move) -> Stage:
+    return STAGES[min(move.stage, len(STAGES) - 1)]
+
+
+def compute_share(move: Move, elapsed: float) -> float:
+    """Return the new version's share `elapsed` seconds after the order.
+
+    A probe ends by the clock of each node, also without news of the move's holder.
+    """
+    stage = _get_stage(move)
+    if stage.probe is None or elapsed - move.stage_start < stage.probe * move.seconds:
+        return move.share
+    return min(move.share, REST_SHARE)
+
+
+def _advance_stage(move: Move, elapsed: float) -> Move:
+    """Return the move in its next stage if it is due, with the stage's share."""
+    if move.share == 0.0:
+        # The version has had no targets: a stage counts from its first request.
+        move = attrs.evolve(move, stage_start=elapsed)
+    if move.stage + 1 < len(STAGES):
+        held = elapsed - move.stage_start
+        is_held = held >= _get_stage(move).hold * move.seconds
+        if is_held and elapsed >= STAGES[move.stage + 1].start * move.seconds:
+            move = attrs.evolve(move, stage=move.stage + 1, stage_start=elapsed)
+    move = attrs.evolve(move, share=_get_stage(move).share, elapsed=elapsed)
+    return attrs.evolve(move, share=compute_share(move, elapsed))
+
+
+def _is_closing(move: Move) -> bool:
+    if move.state == CLOSING:
+        return True
+    held = move.elapsed - move.stage_start
+    return (
+        move.stage >= len(STAGES) - 1
+        and held >= _get_stage(move).hold * move.seconds
+        and move.elapsed >= CLOSING_FRACTION * move.seconds
+    )
 
 
 def advance_move(
@@ -91,18 +151,17 @@
         )
     if not has_targets:
         return attrs.evolve(move, state=RUNNING, share=0.0, elapsed=elapsed)
-    fraction = elapsed / move.seconds if move.seconds > 0 else 1.0
-    share = compute_share(fraction)
     if move.state == CLOSING and is_drained:
         return attrs.evolve(move, state=COMPLETE, share=1.0, elapsed=elapsed)
-    state = CLOSING if fraction >= CLOSING_FRACTION else RUNNING
-    return attrs.evolve(move, state=state, share=share, elapsed=elapsed)
+    advanced = _advance_stage(move, elapsed)
+    state = CLOSING if _is_closing(advanced) else RUNNING
+    return attrs.evolve(advanced, state=state)
 
 
-def choose_version(move: Move, rng: random.Random) -> str:
-    """Return the version that a call is sent to."""
+def choose_version(move: Move, elapsed: float, rng: random.Random) -> str:
+    """Return the version that a call is sent to `elapsed` seconds after the order."""
     if move.state == REVERTED:
         return move.source
     if move.state in (CLOSING, COMPLETE):
         return move.to
-    return move.to if rng.random() < move.share else move.source
+    return move.to if rng.random() < compute_share(move, elapsed) else move.source
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -16,6 +16,7 @@
     COMPLETE,
     REVERTED,
     RUNNING,
+    STAGES,
     Move,
     advance_move,
     choose_version,
@@ -246,10 +247,13 @@
 
 def test_new_version_gets_less_than_a_tenth_before_the_last_step():
     """A version that turns out bad late has received few of the requests."""
-    steps = 1000
-    shares = [compute_share(n / steps) for n in range(steps)]
-    before_full = sum(share for share in shares if share < 1.0) / steps
-    assert_that(before_full, LessThan(0.1))
+    move, elapsed, received = advance(make_move(), 0.0), 0.0, 0.0
+    while move.stage + 1 < len(STAGES):
+        for tick in range(25):
+            received += compute_share(move, elapsed + tick / 100) / 100
+        elapsed += 0.25
+        move = advance(move, elapsed)
+    assert_that(received / move.seconds, LessThan(0.1))
 
 
 def test_bad_version_is_rolled_back_at_once_and_permanently():
@@ -257,7 +261,7 @@
     move = advance(make_move(share=0.4), 9.0, reason="failures")
     assert_that(move.state, Equals(REVERTED))
     assert_that(advance(move, 12.0), Equals(move))
-    assert_that(choose_version(move, random.Random(1)), Equals("v1"))
+    assert_that(choose_version(move, 12.0, random.Random(1)), Equals("v1"))
 
 
 def test_move_waits_for_targets_of_the_new_version():
@@ -271,8 +275,9 @@
 
     The targets of the old version may stop once the move is complete.
     """
-    move = advance(make_move(), 12.5)
+    move = advance(make_move(stage=len(STAGES) - 1, stage_start=9.6), 9.7)
+    move = advance(move, 12.5)
     assert_that(move.state, Equals(CLOSING))
     rng = random.Random(1)
-    chosen = {choose_version(move, rng) for _ in range(100)}
+    chosen = {choose_version(move, 12.5, rng) for _ in range(100)}
     assert_that(chosen, Equals({"v2"}))
