A stopping node ends only after two checks in a row that found nothing

A client's connection was reset without an answer, 0.3 s after its request was sent: what arrives while a stopping process is held up is accepted in the same turn of the event loop in which the count is made that ends the stop, so nobody counted it. Failed before (tests/test_last_requests.py: a reset, or no byte). The second check runs after a turn in which such requests are read; the same in the last phase, for refusals.

--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -32,6 +32,9 @@
 deadline lies beyond the grace period."""
 POLL_SECONDS = 0.02
 """Interval between checks for running requests: far below a client's timeout."""
+QUIET_POLLS = 2
+"""Checks in a row that must find nothing. After a delay of the process the first one may
+run before the requests that arrived meanwhile are read."""
 
 
 async def drain(
@@ -41,22 +44,25 @@
     started = read_monotonic()
     listener.is_closing = True
     end = stop.answer_by
-    while read_monotonic() < end:
+    quiet_polls = 0
+    while quiet_polls < QUIET_POLLS and read_monotonic() < end:
         now = read_monotonic()
         spent = now - started
         reading = readers.count_reading(now)
         stop.is_closed = spent >= ACCEPT_SECONDS
         if spent >= UNREADY_NOTICE_SECONDS:
             listener.close_idle(MIN_IDLE_SECONDS)
-            if not (listener.count_busy() or inbound.running or reading):
-                break
+            is_busy = listener.count_busy() or inbound.running or reading
+            quiet_polls = 0 if is_busy else quiet_polls + 1
         await asyncio.sleep(POLL_SECONDS)
     # What still arrives over open connections and links gets a refusal.
     stop.is_closed = True
     listener.stop()
     end = min(end, read_monotonic()) + LAST_ANSWERS_SECONDS
-    while read_monotonic() < end and listener.connections:
+    quiet_polls = 0
+    while quiet_polls < QUIET_POLLS and read_monotonic() < end:
         listener.close_idle(MIN_IDLE_SECONDS)
+        quiet_polls = 0 if listener.connections else quiet_polls + 1
         await asyncio.sleep(POLL_SECONDS)
     listener.close_idle()
     log_line("drained", requests=listener.count_busy(), calls=inbound.running)
