A silent link is replaced, and the reads on it are still awaited

Callers got a 502 (link-lost) 0.8 s after sending, with seconds left, when the node beside the target was held up for that long: the link was closed as silent, which ended the reads at their target though its answers were on their way.

The same class as the reads that were given up as silent: an attempt was ended before another had an outcome. The node now dials a new link and uses the old one only for the results of reads, which may be tried elsewhere meanwhile; it is closed when none is left. The outcomes of calls that can't be repeated are queried over the new link, as before. Frames that would set the other node's state are ignored on a retired link.

--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -40,7 +40,8 @@
 class Link(asyncio.Protocol):
     """One connection; `peer` is the other node's name once its `Hello` arrived.
 
-    `takes_parts` says that the other side accepts large bodies in parts.
+    `takes_parts` says that the other side accepts large bodies in parts, `is_retired`
+    that the link is used for the results of earlier calls only.
     `pinged_at` is the time of the last ping, `last_received` that at which data last
     arrived.
     """
@@ -64,6 +65,7 @@
         self.peer = ""
         self.is_closed = False
         self.takes_parts = False
+        self.is_retired = False
         self.pinged_at = float("-inf")
         self.last_received = self._loop.time()
 
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -1,7 +1,6 @@
 """Registry of the other nodes, and the links to them."""
 
 import asyncio
-import itertools
 import random
 from collections.abc import Callable, Iterator
 
@@ -16,7 +15,6 @@
     Call,
     Frame,
     Hello,
-    OutcomeQuery,
     Result,
     Silence,
     StateUpdate,
@@ -36,7 +34,6 @@
 in the store is added again by the next read of the members."""
 HELLO_TIMEOUT_SECONDS = 1.0
 """Time for the other side's `Hello` on a new link."""
-OUTCOME_RETRY_SECONDS = 0.05
 
 
 class Peers:
@@ -68,8 +65,7 @@
         self._on_accepted = on_accepted
         self._counters = counters
         self._request_budget = request_budget
-        self._numbers = itertools.count(1)
-        self.pending = PendingCalls(answer_budget)
+        self.pending = PendingCalls(answer_budget, self._replace_silent_link)
         self._members_by_link: dict[Link, Member] = {}
         self._accepted: set[Link] = set()
         self._tasks: dict[str, asyncio.Task] = {}
@@ -110,6 +106,7 @@
             self.forget(node)
         for link in list(self._accepted):
             link.close()
+        self.pending.close_retired()
 
     def list_connected(self, service: str) -> list[Member]:
         """Return the nodes with a live link and a target of `service`."""
@@ -169,16 +166,23 @@
 
     async def _wait_lost(self, member: Member) -> None:
         link = member.link
-        while not link.is_closed:
+        while not (link.is_closed or link.is_retired):
             member.wake.clear()
             await member.wake.wait()
             if member.link is not link:
                 return
 
+    def _replace_silent_link(self, link: Link) -> None:
+        """Dial the other node again; it may be slow, so its results are awaited."""
+        self._note_lost(link, 0)
+        self.pending.retire(link)
+
     def _handle_link_lost(self, link: Link) -> None:
         self._accepted.discard(link)
+        self._note_lost(link, self.pending.fail(link))
+
+    def _note_lost(self, link: Link, calls: int) -> None:
         member = self._members_by_link.pop(link, None)
-        calls = self.pending.fail(link)
         if member is None or member.link is not link:
             return
         if member.is_up:
@@ -196,6 +200,9 @@
 
     def handle(self, link: Link, frame: Frame) -> None:
         """Handle one frame from a link dialled by either side."""
+        if link.is_retired and not isinstance(frame, Result | BodyPart | Silence):
+            # The state may be older than that received over the present link.
+            return
         if isinstance(frame, Result | BodyPart):
             self.pending.handle(link, frame)
         elif isinstance(frame, Silence):
@@ -275,30 +282,11 @@
         Raises `TargetSilent` if the target is silent and the call asks to be told.
         Cancelling this coroutine sends `Cancel` to the other node.
         """
-        call.number = next(self._numbers)
         return await self.pending.send(member, call)
 
     async def resolve_outcome(
         self, member: Member, start_time: int, call: Call, deadline: float
     ) -> Result | None:
-        """Ask a node for the outcome of a call; return `None` if it stays unknown.
-
-        A node that has restarted, so that its start time is no longer `start_time`, has
-        lost the outcome.
-        """
+        """Ask a node for the outcome of a call; see `PendingCalls.resolve_outcome`."""
         self._counters.add("calls_settled")
-        while (remaining := deadline - read_monotonic()) > 0:
-            if member.is_up:
-                if member.start_time != start_time:
-                    return None
-                number = next(self._numbers)
-                left_ms = max(1, int(remaining * 1000))
-                query = OutcomeQuery(number, call.request_id, call.attempt, left_ms)
-                try:
-                    async with asyncio.timeout(remaining):
-                        return await self.pending.send(member, query)
-                except (LinkLost, TimeoutError):
-                    continue
-            member.wake.set()
-            await asyncio.sleep(OUTCOME_RETRY_SECONDS)
-        return None
+        return await self.pending.resolve_outcome(member, start_time, call, deadline)
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -1,9 +1,12 @@
 """Calls sent to other nodes that await a result, and detection of silent links."""
 
 import asyncio
+import itertools
+from collections.abc import Callable
 
 import attrs
 
+from ..clock import read_monotonic
 from ..observe.lines import log_line
 from ..policy.bodybudget import BodyBudget
 from .bodyparts import BodyAssembler
@@ -28,23 +31,40 @@
 PING_AFTER_SECONDS = 0.3
 """Silence of a link after a call on it after which a ping is sent."""
 PING_TIMEOUT_SECONDS = 0.5
-"""Time without an answer to a ping after which the link is closed: a hundred round
+"""Time without an answer to a ping after which the link is replaced: a hundred round
 trips."""
+OUTCOME_RETRY_SECONDS = 0.05
 
 
 @attrs.define(eq=False)
 class _PendingCall:
+    frame: Call | OutcomeQuery
     future: asyncio.Future
     link: Link
     sent: float
+    is_reported: bool = False
+    """Whether its silence has been reported."""
+
+    @property
+    def can_wait(self) -> bool:
+        """Return whether its result is awaited though the link is silent."""
+        return isinstance(self.frame, Call) and self.frame.is_idempotent
 
 
 class PendingCalls:
     """Pending calls by number, each with the future of its result."""
 
-    def __init__(self, budget: BodyBudget) -> None:
-        """Start without pending calls; `budget` limits results that arrive in parts."""
+    def __init__(
+        self, budget: BodyBudget, replace_link: Callable[[Link], None]
+    ) -> None:
+        """Start without pending calls; `budget` limits results that arrive in parts.
+
+        `replace_link` is called with each link that is found to be silent.
+        """
         self._pending: dict[int, _PendingCall] = {}
+        self._numbers = itertools.count(1)
+        self._replace_link = replace_link
+        self._retired: set[Link] = set()
         # For each link, when the oldest call that was given up since data last arrived
         # was sent.
         self._given_up: dict[Link, float] = {}
@@ -56,11 +76,13 @@
         Raises `TargetSilent` if a result is still to come, but may take until the
         deadline. Cancelling the task sends a `Cancel` to the other node.
         """
+        frame.number = next(self._numbers)
         link = member.link
         if link is None or not member.is_up or not link.send(frame):
             raise LinkLost("no link", step="call", peer=member.node)
         future = asyncio.get_running_loop().create_future()
-        pending = _PendingCall(future, link, asyncio.get_running_loop().time())
+        sent = asyncio.get_running_loop().time()
+        pending = _PendingCall(frame, future, link, sent)
         self._pending[frame.number] = pending
         try:
             return await future
@@ -78,12 +100,16 @@
 
     def handle_silence(self, frame: Silence) -> None:
         """Let a call try another target; its result is awaited all the same."""
-        number = frame.number
-        pending = self._pending.get(number)
-        if pending is None or pending.future.done():
+        pending = self._pending.get(frame.number)
+        if pending is not None and not pending.future.done():
+            self._report_silence(pending)
+
+    def _report_silence(self, pending: _PendingCall) -> None:
+        if pending.is_reported:
             return
+        number = pending.frame.number
         later = asyncio.get_running_loop().create_future()
-        self._pending[number] = _PendingCall(later, pending.link, pending.sent)
+        self._pending[number] = attrs.evolve(pending, future=later, is_reported=True)
         later.add_done_callback(lambda _later: self._pending.pop(number, None))
         pending.future.set_exception(
             TargetSilent(later, lambda: self._cancel(number, pending.link))
@@ -121,15 +147,71 @@
         count = 0
         for number, pending in list(self._pending.items()):
             if pending.link is link:
-                del self._pending[number]
+                self._fail(number, pending)
                 count += 1
-                if not pending.future.done():
-                    error = LinkLost("link lost", step="call", peer=link.peer)
-                    pending.future.set_exception(error)
+        self._retired.discard(link)
         return count
 
+    def _fail(self, number: int, pending: _PendingCall) -> None:
+        del self._pending[number]
+        if not pending.future.done():
+            error = LinkLost("link lost", step="call", peer=pending.link.peer)
+            pending.future.set_exception(error)
+
+    def retire(self, link: Link) -> None:
+        """Use a silent link no longer, but for the results of calls that can wait.
+
+        They may be tried elsewhere meanwhile. The outcomes of the others are queried
+        over another link.
+        """
+        link.is_retired = True
+        waiting = [
+            pending
+            for pending in self._pending.values()
+            if pending.link is link and pending.can_wait and not pending.future.done()
+        ]
+        if not waiting:
+            link.close()
+            return
+        self._retired.add(link)
+        for number, pending in list(self._pending.items()):
+            if pending.link is link and not pending.can_wait:
+                self._fail(number, pending)
+        for pending in waiting:
+            if pending.frame.reports_silence:
+                self._report_silence(pending)
+
+    def close_retired(self) -> None:
+        """Close the silent links on which results are awaited."""
+        for link in list(self._retired):
+            link.close()
+        self._retired.clear()
+
+    async def resolve_outcome(
+        self, member: Member, start_time: int, call: Call, deadline: float
+    ) -> Result | None:
+        """Ask a node for the outcome of a call; return `None` if it stays unknown.
+
+        A node that has restarted, so that its start time is no longer `start_time`, has
+        lost the outcome.
+        """
+        while (remaining := deadline - read_monotonic()) > 0:
+            if member.is_up:
+                if member.start_time != start_time:
+                    return None
+                left_ms = max(1, int(remaining * 1000))
+                query = OutcomeQuery(0, call.request_id, call.attempt, left_ms)
+                try:
+                    async with asyncio.timeout(remaining):
+                        return await self.send(member, query)
+                except (LinkLost, TimeoutError):
+                    continue
+            member.wake.set()
+            await asyncio.sleep(OUTCOME_RETRY_SECONDS)
+        return None
+
     async def sweep(self) -> None:
-        """Ping silent links with calls and close dead ones until cancelled."""
+        """Ping silent links with calls and replace dead ones until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
@@ -143,16 +225,22 @@
                     del self._given_up[link]
                 else:
                     oldest[link] = min(oldest.get(link, now), sent)
+            for link in self._retired - oldest.keys():
+                link.close()
             for link, sent in oldest.items():
-                _check_link(link, sent, now)
+                if not link.is_retired and _is_silent(link, sent, now):
+                    self._replace_link(link)
 
 
-def _check_link(link: Link, sent: float, now: float) -> None:
+def _is_silent(link: Link, sent: float, now: float) -> bool:
+    """Return whether a ping was left unanswered; ping a link that may be silent."""
     if now - max(sent, link.last_received) <= PING_AFTER_SECONDS:
-        return
+        return False
     if link.pinged_at <= link.last_received:
         link.pinged_at = now
         link.send(Ping())
-    elif now - link.pinged_at > PING_TIMEOUT_SECONDS:
-        log_line("peer-silent", member=link.peer, seconds=round(now - sent, 2))
-        link.close()
+        return False
+    if now - link.pinged_at <= PING_TIMEOUT_SECONDS:
+        return False
+    log_line("peer-silent", member=link.peer, seconds=round(now - sent, 2))
+    return True
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -33,8 +33,8 @@
 POLL_SECONDS = 0.02
 """Interval between checks for running requests: far below a client's timeout."""
 QUIET_POLLS = 2
-"""Checks in a row that must find nothing. After a delay of the process the first one may
-run before the requests that arrived meanwhile are read."""
+"""Checks in a row that must find nothing. After a delay of the process, the first one
+may run before the requests that arrived meanwhile are read."""
 
 
 async def drain(
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -9,7 +9,7 @@
 from testtools.matchers import Equals
 
 from cactusshed.mesh.frames import OutcomeQuery
-from cactusshed.mesh.link import LinkLost, dial_link, serve_links
+from cactusshed.mesh.link import Link, LinkLost, dial_link, serve_links
 from cactusshed.mesh.pending import PendingCalls
 from cactusshed.options import Address
 from cactusshed.policy.bodybudget import BodyBudget
@@ -24,7 +24,7 @@
 @asynccontextmanager
 async def open_link(address):
     """Yield a member with a link to `address`, and the calls that are sent on it."""
-    pending = PendingCalls(BodyBudget(1 << 20))
+    pending = PendingCalls(BodyBudget(1 << 20), Link.close)
     link = await dial_link(address, pending.handle, pending.fail)
     sweeping = asyncio.create_task(pending.sweep())
     try:
