Heartbeats without a start time, or with one ahead, don't outlast true ones

A heartbeat of another writer without `born`, or with 0, was taken as that of a new process, and its number outdated all true ones after it. The true target's leave was acknowledged and ignored: callers' requests would have reached it after it had left (DRAIN).

Clocks may differ and jump, so a start time ahead of this node's clock is still taken, but it outlasts none: the next heartbeat with another start time counts. A target whose clock is ahead, or whose node's clock is behind, stays in use.

--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-from ..clock import read_monotonic
+from ..clock import read_monotonic, read_wall
 from ..errors import Malformed
 from ..observe.counters import Counters
 from ..observe.lines import log_line
@@ -166,12 +166,10 @@
 
     def _is_outdated(self, announcement: Announcement) -> bool:
         """Return whether a later announcement was already accepted."""
-        if (
-            announcement.start_time
-            and self.state.start_time
-            and announcement.start_time != self.state.start_time
-        ):
-            return announcement.start_time < self.state.start_time
+        known_start = self.state.start_time
+        if known_start and announcement.start_time != known_start:
+            # A start time ahead of this node's clock may be wrong, and outlasts none.
+            return announcement.start_time < known_start <= read_wall() * 1000
         return (
             announcement.name == self.state.name
             and announcement.number < self._last_number
--- a/cactusshed/platform/announcements.py
+++ b/cactusshed/platform/announcements.py
@@ -71,7 +71,10 @@
 
 def _read_start_time(fields: object) -> int:
     latest_ms = int((read_wall() + MAX_CLOCK_LEAD_SECONDS) * 1000)
-    return read_int(fields, "born", 0, latest_ms)
+    start_time = read_int(fields, "born", highest=latest_ms)
+    if not start_time:
+        raise Malformed("born: 0", step="read announcement")
+    return start_time
 
 
 def read_start_time(body: bytes) -> int:
