One client's odd timeout leaves the soft deadlines of others

After one request with a very long `X-Deadline-Ms`, all later requests of its route at that node counted as late for as long as the node ran: under load they were queued behind those of other nodes and refused first, with 503.

Cause: the time for which a client had been trying was taken as the longest timeout ever sent on the route, less its own. One request of 60 s made every other 59 s old.

A timeout counts up to that of its route, since nobody waits longer, and the usual first timeout is the eighth longest of each 32 requests of the route: seven odd ones change nothing, and first attempts may be as few as a quarter of the requests. Calls of targets, which have the soft deadline of the request that makes them, are not counted. Before the first 32 requests retries get the soft deadline of first attempts. It is a decision on load, in policy/firsttimeouts.py.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -13,6 +13,7 @@
 from ..observe.histograms import CallClass, Histograms
 from ..observe.lines import log_line
 from ..platform import headers as header_names
+from ..policy.firsttimeouts import FirstTimeout
 from ..policy.plannedstop import PlannedStop
 from .callplan import CallPlan, Outcome
 from .crashes import RunningCall
@@ -70,8 +71,8 @@
     rng: random.Random = attrs.Factory(random.Random)
     stop: PlannedStop = attrs.Factory(PlannedStop)
     """Calls made by requests running here are accepted also while it refuses others."""
-    longest_timeout: dict[str, float] = attrs.Factory(dict)
-    """Longest timeout that clients have sent, in seconds by route."""
+    first_timeouts: dict[str, FirstTimeout] = attrs.Factory(dict)
+    """Timeouts of clients' first attempts by route."""
 
     def is_safe(self, request: Request) -> bool:
         """Return whether a request may run at the same time as others."""
@@ -132,9 +133,7 @@
         # The client's time has been running since it began to send, also while the body
         # arrived and while the request waited behind others of its connection.
         now = request.started
-        client_timeout = _read_timeout(request, route.timeout)
-        longest_timeout = max(client_timeout, self.longest_timeout.get(route.name, 0.0))
-        self.longest_timeout[route.name] = longest_timeout
+        timeout = min(_read_timeout(request, route.timeout), route.timeout)
         service = choose_service(route, self.rng.random())
         request_id = request.find(header_names.ATTEMPT_ID)
         call = Call(
@@ -159,21 +158,28 @@
             parent_is_retry=parent is not None and parent.call.is_retry,
             may_wait=True,
         )
-        # A client that retries after a refusal sends a shorter timeout than at first.
-        # The difference is subtracted, so that a retry keeps its soft deadline.
-        soft_deadline = now + route.soft_timeout - (longest_timeout - client_timeout)
         if parent is not None:
             # A call has the soft deadline of the request that makes it.
             soft_deadline = parent.soft_deadline
+        else:
+            # A retry after a refusal keeps the soft deadline of the first attempt.
+            elapsed = self._estimate_elapsed(route.name, timeout)
+            soft_deadline = now + route.soft_timeout - elapsed
         return CallPlan(
             call,
-            now + min(client_timeout, route.timeout),
+            now + timeout,
             soft_deadline,
             route.max_attempts,
             lambda: self.moves.choose_version(service),
             lambda version: self.moves.get_fallback_version(service, version),
         )
 
+    def _estimate_elapsed(self, route: str, timeout: float) -> float:
+        """Return the time for which a client has been trying before this request."""
+        first_timeout = self.first_timeouts.setdefault(route, FirstTimeout())
+        first_timeout.note(timeout)
+        return first_timeout.compute_elapsed(timeout)
+
     async def _run(self, plan: CallPlan) -> Outcome:
         limit = plan.deadline - read_monotonic() + RESULT_GRACE_SECONDS
         try:
