A client's reset during a refusal raises no error

When a client reset its connection between the write of a refusal and the shutdown of the sending side, write_eof raised OSError (ENOTCONN).

Seen in a test that kills clients while they send; the test added here raises the same error from a transport.

--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -1,6 +1,7 @@
 """Server side of one HTTP/1.1 connection: strict parsing within size limits."""
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 import httptools
@@ -263,7 +264,9 @@
         self._is_discarding = True
         self._release_partial()
         if self._transport.can_write_eof() and not self._transport.is_closing():
-            self._transport.write_eof()
+            # The client may have reset the connection a moment ago.
+            with contextlib.suppress(OSError):
+                self._transport.write_eof()
         self._listener.loop.call_later(LINGER_SECONDS, self._transport.close)
 
     def time_out(self) -> None:
--- a/tests/test_listener_mesh.py
+++ b/tests/test_listener_mesh.py
@@ -1,12 +1,14 @@
 """Tests of the listener: limits, request smuggling, pipelining, disconnects."""
 
 import asyncio
+import errno
 from contextlib import asynccontextmanager
 
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, StartsWith
 
+from cactusshed.mesh.connection import Connection
 from cactusshed.mesh.listener import Listener
 from cactusshed.mesh.messages import Response
 from cactusshed.mesh.table import Limits
@@ -170,3 +172,35 @@
     answer, served = send(data + LAST)
     assert_that(answer, StartsWith(b"HTTP/1.1 %d " % status))
     assert_that(served, Equals([]))
+
+
+def test_reset_at_the_end_of_a_connection_raises_no_error():
+    """A client's reset between a refusal and the shutdown ended the timeouts."""
+
+    class ResetTransport(asyncio.Transport):
+        def write(self, data):
+            """Accept the refusal."""
+
+        def can_write_eof(self):
+            return True
+
+        def is_closing(self):
+            return False
+
+        def write_eof(self):
+            raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+        def close(self):
+            """Accept the end of the connection."""
+
+    async def run():
+        listener = Listener(None, lambda: LIMITS, lambda status: None)
+        connection = Connection(listener)
+        connection.connection_made(ResetTransport())
+        connection.data_received(b"GET / HTTP/1.1\r\n")
+        sweeping = asyncio.create_task(listener.sweep())
+        done, _ = await asyncio.wait([sweeping], timeout=3 * LIMITS.header_seconds)
+        sweeping.cancel()
+        return [task.exception() for task in done]
+
+    assert_that(run_async(run), Equals([]))
