Messages in tiny chunks leave the loop to the other requests of a node

While targets sent chunks of a byte without end, requests of other clients at the same node were late or got 504. Requests of a client in such chunks did the same (others waited 3.2 s).

Cause: a read of 256 KiB was parsed at once, 44,000 chunks with four or more Python calls each, again for each connection in each iteration of the loop; and framing was bounded by eight bytes for each byte up to 256 KiB, which let 260,000 chunks of one answer pass.

- A message whose chunks and header lines exceed a credit (512, and one for each 256 bytes of body) waits for turns: each iteration of the loop parses 8 KiB of one of them.
All others are parsed as they arrive.
The bound holds for any number of such messages and refuses nothing.
- An answer may have 4,096 chunks and one for each 64 bytes of its body.
Framing of requests and of answers on the product's path is bounded.

--- a/cactusshed/mesh/answermeter.py
+++ b/cactusshed/mesh/answermeter.py
@@ -3,21 +3,19 @@
 import attrs
 
 from ..policy.bodybudget import BodyBudget
+from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, get_framing_limit
 
 __all__ = ["AnswerMeter", "TooManyBytes"]
 
-MAX_HEAD_BYTES = 64 << 10
-"""Maximum size of an answer's head, its trailers and interim answers included."""
 MAX_INTERIM_ANSWERS = 16
 """Maximum number of interim answers (1xx) before the final one."""
 MAX_ANSWER_BYTES = 16 << 20
 """Maximum size of an answer's body; far above the largest of the users' services."""
-FRAMING_FACTOR = 8
-"""Bytes of framing allowed per byte of a small body; chunks of one byte have five."""
-SMALL_BODY_BYTES = 256 << 10
-LARGE_BODY_FRAMING = 1 / 8
-"""Bytes of framing allowed per further byte of body. Each chunk takes processor time,
-so a large answer may not consist of tiny ones."""
+MAX_SMALL_CHUNKS = 4096
+"""Chunks that an answer may have whatever its size: 4 KiB may come in single bytes."""
+MIN_MEAN_CHUNK_BYTES = 64
+"""Mean size of any further chunks. Each takes processor time, so a large answer may not
+consist of tiny ones."""
 
 
 class TooManyBytes(Exception):
@@ -35,23 +33,22 @@
     _header_bytes: int = 0
     _body_bytes: int = 0
     _interim_count: int = 0
+    _chunk_count: int = 0
 
     def add_received(self, size: int, *, has_head: bool) -> None:
         """Count bytes from the connection, after they were parsed."""
         self._received += size
         if not has_head and self._received > MAX_HEAD_BYTES:
             self._exceed("answer head is too large")
-        framing_bytes = self._received - self._body_bytes
-        if framing_bytes > MAX_HEAD_BYTES + size + self._get_allowed_framing():
+        framing_bytes = self._received - self._body_bytes - size
+        if framing_bytes > get_framing_limit(self._body_bytes):
             self._exceed("answer has too much framing")
-
-    def _get_allowed_framing(self) -> float:
-        small = min(self._body_bytes, SMALL_BODY_BYTES)
-        return FRAMING_FACTOR * small + LARGE_BODY_FRAMING * (self._body_bytes - small)
+        # A chunk that is read in two parts, or a body that is no chunk, counts once.
+        self._chunk_count = max(0, self._chunk_count - 1)
 
     def add_header(self, name: bytes, value: bytes) -> None:
         """Count a header or a trailer."""
-        self._header_bytes += len(name) + len(value)
+        self._header_bytes += len(name) + len(value) + LINE_BYTES
         if self._header_bytes > MAX_HEAD_BYTES:
             self._exceed("answer head is too large")
 
@@ -61,13 +58,18 @@
         if self._interim_count > MAX_INTERIM_ANSWERS:
             self._exceed("too many interim answers")
 
-    def add_body(self, size: int) -> None:
-        """Count a part of the body."""
+    def add_body(self, size: int, chunk_count: int = 1) -> None:
+        """Count a part of the body in so many chunks."""
         if self._body_bytes + size > MAX_ANSWER_BYTES:
             self._exceed("answer body is too large")
         if not self.budget.reserve(size):
             self._exceed("bodies of all answers are too large")
         self._body_bytes += size
+        self._chunk_count += chunk_count
+        if self._chunk_count > (
+            MAX_SMALL_CHUNKS + self._body_bytes / MIN_MEAN_CHUNK_BYTES
+        ):
+            self._exceed("answer has too many small chunks")
 
     def release(self) -> None:
         """Return the reserved bytes; the body has been handed on or dropped."""
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -7,11 +7,13 @@
 import httptools
 
 from ..observe.lines import log_line
+from ..parseturns import PacedReader
 from ..policy.bodybudget import RETRY_SECONDS
 from ..requestparser import RequestParser, has_unknown_coding
 from ..sockets import count_unsent_bytes
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
+from .requestmeter import RequestMeter, TooManyBytes
 from .responses import encode_response
 from .upstream import Headers
 
@@ -36,6 +38,7 @@
             lambda: (self._url, self._headers),
         )
         self._transport: asyncio.Transport | None = None
+        self._reader = PacedReader(self._parse, lambda: not self._is_paused)
         self._pipeline = Pipeline(
             listener.serve,
             listener.is_safe,
@@ -46,9 +49,8 @@
         )
         self._is_discarding = False
         self._is_paused = False
-        self._reserved = 0
+        self._meter = RequestMeter(listener.limits, listener.body_budget)
         self._reset()
-        self.head_bytes = 0
         self.idle_since = 0.0
         self.request_started: float | None = None
 
@@ -56,7 +58,8 @@
         self._url = b""
         self._headers: Headers = []
         self._body = bytearray()
-        self._size = 0
+        self._counted_bytes = 0
+        self._chunk_count = 0
         self._in_body = False
         self._refusal_status = 0
 
@@ -84,14 +87,15 @@
 
     def connection_made(self, transport) -> None:
         """Store the transport and register with the listener."""
-        self._transport = transport
+        self._transport = self._reader.transport = transport
         self.idle_since = self._listener.loop.time()
         self._listener.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests being served and drop the waiting ones."""
         self._listener.connections.discard(self)
-        self._release_partial()
+        self._reader.stop()
+        self._meter.release()
         self._pipeline.cancel()
 
     def pause_writing(self) -> None:
@@ -112,26 +116,28 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data within the limits."""
-        if self._is_discarding:
-            return
+        if not self._is_discarding:
+            self._reader.receive(data)
+
+    def _parse(self, data: bytes) -> None:
         if self.request_started is None:
             self.request_started = self._listener.loop.time()
-        if not self._in_body:
-            self.head_bytes += len(data)
+        self._meter.add_received(len(data), in_body=self._in_body)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._refuse(self._refusal_status or 400)
-        else:
-            limit = self._listener.limits().header_bytes
-            if not self._in_body and self.request_started and self.head_bytes > limit:
-                self._refuse(431)
+            self._count_body()
+            if self.request_started is not None:
+                self._meter.check(in_body=self._in_body)
+        except (TooManyBytes, httptools.HttpParserError):
+            self._refuse(self._meter.refusal_status or self._refusal_status or 400)
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self._reset()
+        self._meter.start_request()
+        self._reader.start_message()
         self.request_started = self.request_started or self._listener.loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -139,9 +145,10 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are counted with the body and dropped."""
+        """Store a header; trailers have the same limit and are dropped."""
+        self._reader.credit.take(1)
         if self._in_body:
-            self._add_body_bytes(len(name) + len(value))
+            self._meter.add_trailer(name, value)
         else:
             self._headers.append((name.lower(), value))
 
@@ -152,16 +159,13 @@
         self._in_body = True
         if has_unknown_coding(self._headers):
             self._reject(501)
-        limits = self._listener.limits()
-        size = len(self._url) + sum(len(k) + len(v) + 4 for k, v in self._headers)
-        if size > limits.header_bytes:
-            self._reject(431)
+        self._meter.check_head(self._url, self._headers)
         hosts = [value for name, value in self._headers if name == b"host"]
         if len(hosts) > 1:
             self._reject(400)
         for name, value in self._headers:
             if name == b"content-length":
-                self._reserve_body(int(value))
+                self._meter.reserve(int(value))
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._send_continue()
@@ -176,36 +180,25 @@
         self._refusal_status = status
         raise ValueError(status)
 
-    def _reserve_body(self, size: int) -> None:
-        budget = self._listener.body_budget
-        total = self._reserved + size
-        if total > min(self._listener.limits().body_bytes, budget.limit):
-            self._reject(413)
-        if not budget.reserve(size):
-            self._reject(503)
-        self._reserved += size
-
-    def _release_partial(self) -> None:
-        """Release what is reserved for the request that is being read."""
-        self._listener.body_budget.release(self._reserved)
-        self._reserved = 0
-
-    def _add_body_bytes(self, size: int) -> None:
-        self._size += size
-        if self._size > self._listener.limits().body_bytes:
-            self._reject(413)
-        if self._size > self._reserved:
-            self._reserve_body(self._size - self._reserved)
-
     def on_body(self, data: bytes) -> None:
-        """Append a chunk of the body; refuse a body that is too large."""
-        self._add_body_bytes(len(data))
+        """Append a chunk of the body."""
         self._body += data
+        self._chunk_count += 1
+
+    def _count_body(self) -> None:
+        """Count the chunks since the last call; refuse a body that is too large."""
+        if self._chunk_count:
+            size = len(self._body) - self._counted_bytes
+            self._reader.credit.take(self._chunk_count, size)
+            self._meter.add_body(size)
+            self._counted_bytes += size
+            self._chunk_count = 0
 
     def on_message_complete(self) -> None:
         """Hand the complete request to the pipeline."""
         if self._parser.has_offer:
             return
+        self._count_body()
         request = Request(
             self._parser.get_method(),
             self._url,
@@ -213,11 +206,9 @@
             bytes(self._body),
             self._listener.loop.time(),
             self.request_started,
-            self._reserved,
+            self._meter.end_request(),
         )
         keep_alive = self._parser.should_keep_alive()
-        self._reserved = 0
-        self.head_bytes = 0
         self.request_started = None
         self._reset()
         self._pipeline.add(request, keep_alive=keep_alive)
@@ -240,7 +231,8 @@
             self._shut_down()
         elif self._is_paused and not self._pipeline.is_full:
             self._is_paused = False
-            self._transport.resume_reading()
+            if not self._reader.is_waiting:
+                self._transport.resume_reading()
 
     def _release(self, request: Request) -> None:
         self._listener.body_budget.release(request.reserved_bytes)
@@ -251,7 +243,8 @@
     def _refuse(self, status: int) -> None:
         """Refuse unreadable input after the requests before it, and close."""
         self._is_discarding = True
-        self._release_partial()
+        self._reader.stop()
+        self._meter.release()
         self._listener.on_refused(status)
         headers = []
         if status == 503:
@@ -262,7 +255,8 @@
     def _shut_down(self) -> None:
         """Close the sending side now, and the connection after `LINGER_SECONDS`."""
         self._is_discarding = True
-        self._release_partial()
+        self._reader.stop()
+        self._meter.release()
         if self._transport.can_write_eof() and not self._transport.is_closing():
             # The client may have reset the connection a moment ago.
             with contextlib.suppress(OSError):
@@ -282,4 +276,4 @@
     @property
     def has_pending_input(self) -> bool:
         """Return whether a request is partly read."""
-        return self.request_started is not None
+        return self.request_started is not None or self._reader.is_waiting
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -13,10 +13,10 @@
 from ..observe.lines import log_line
 from ..options import Address
 from ..policy.bodybudget import BodyBudget
+from ..sockets import enable_keepalive
 from .bodyparts import PART_BYTES, PartSender, is_sent_in_parts
 from .frames import Cancel, Frame, Ping, Pong
 from .framing import FrameDecoder, encode_frame
-from .upstream import enable_keepalive
 
 __all__ = ["Link", "LinkLost", "dial_link", "serve_links"]
 
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -5,15 +5,16 @@
 """
 
 import asyncio
-import socket
 
 import attrs
 import httptools
 
 from ..errors import CactusError
 from ..options import Address
+from ..parseturns import PacedReader
 from ..policy.bodybudget import BodyBudget
 from ..requestparser import has_unknown_coding
+from ..sockets import enable_keepalive
 from .answermeter import MAX_ANSWER_BYTES, AnswerMeter, TooManyBytes
 
 __all__ = [
@@ -24,19 +25,12 @@
     "Upstream",
     "UpstreamFailed",
     "open_upstream",
-    "enable_keepalive",
 ]
 
 Headers = list[tuple[bytes, bytes]]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Timeout for connecting; long enough for one retransmitted SYN on these networks."""
-KEEPALIVE_IDLE_SECONDS = 1
-"""Idle time before the kernel's first TCP keepalive probe."""
-PROBE_COUNT = 2
-"""Unanswered probes, one second apart, after which a connection is dead."""
-USER_TIMEOUT_MS = 3000
-"""Time for which sent bytes may stay unacknowledged: idle time plus probes."""
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final answer; lower ones are interim (1xx)."""
 NO_BODY_STATUSES = (204, 304)
@@ -85,20 +79,6 @@
         return None
 
 
-def enable_keepalive(
-    transport: asyncio.Transport, idle_seconds: int = KEEPALIVE_IDLE_SECONDS
-) -> None:
-    """Enable TCP keepalive probes, so that the kernel closes dead connections."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_seconds)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 class Upstream(asyncio.Protocol):
     """One connection; `identity` names the header in which answers echo the id."""
 
@@ -113,12 +93,15 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._waiter: asyncio.Future | None = None
+        self._reader = PacedReader(self._parse)
         self._expected = b""
         self._is_head = False
         self._has_head = False
         self._must_close = False
         self._headers: Headers = []
         self._body = bytearray()
+        self._counted_bytes = 0
+        self._chunk_count = 0
         self.is_closed = False
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
@@ -126,17 +109,21 @@
 
     def connection_made(self, transport) -> None:
         """Store the transport and enable TCP keepalive."""
-        self._transport = transport
+        self._transport = self._reader.transport = transport
         enable_keepalive(transport)
         self.idle_since = asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; close the connection if no request is pending."""
+        self._reader.receive(data)
+
+    def _parse(self, data: bytes) -> None:
         if self._waiter is None or self._waiter.done():
             self.abort()
             return
         try:
             self._parser.feed_data(data)
+            self._count_body()
             if not self._waiter.done():
                 self._meter.add_received(len(data), has_head=self._has_head)
         except TooManyBytes as error:
@@ -169,10 +156,12 @@
             self._must_close = True
         self._headers = []
         self._body = bytearray()
+        self._counted_bytes = 0
         self._has_head = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; drop a trailer."""
+        self._reader.credit.take(1)
         self._meter.add_header(name, value)
         if not self._has_head:
             self._headers.append((name.lower(), value))
@@ -190,11 +179,21 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
-        self._meter.add_body(len(data))
         self._body += data
+        self._chunk_count += 1
+
+    def _count_body(self) -> None:
+        """Count the chunks that were appended since the last call."""
+        if self._chunk_count:
+            size = len(self._body) - self._counted_bytes
+            self._reader.credit.take(self._chunk_count, size)
+            self._meter.add_body(size, self._chunk_count)
+            self._counted_bytes += size
+            self._chunk_count = 0
 
     def on_message_complete(self) -> None:
         """Complete the pending request, unless the answer belongs to another one."""
+        self._count_body()
         if not self._has_head:
             return
         if self._waiter is None or self._waiter.done():
@@ -253,6 +252,8 @@
         self._is_head = is_head
         self._has_head = False
         self._meter = AnswerMeter(self._budget)
+        self._counted_bytes = self._chunk_count = 0
+        self._reader.start_message()
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
         self._transport.write(data)
@@ -267,7 +268,7 @@
             self._body = bytearray()
             self._meter.release()
             self.idle_since = loop.time()
-        if self._must_close:
+        if self._must_close or self._reader.is_waiting:
             self.abort()
         return answer
 
@@ -278,6 +279,7 @@
     def abort(self) -> None:
         """Close the connection immediately."""
         self.is_closed = True
+        self._reader.stop()
         if self._transport is not None:
             self._transport.abort()
 
--- a/cactusshed/serve/connection.py
+++ b/cactusshed/serve/connection.py
@@ -13,7 +13,10 @@
 import httptools
 
 from ..options import Address
+from ..parseturns import PacedReader
+from ..policy.parsework import MAX_HEAD_BYTES, get_framing_limit
 from .messages import Headers, Reply
+from .parsedresponse import ParsedResponse
 
 __all__ = [
     "MAX_BUFFERED_BYTES",
@@ -30,58 +33,9 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 CLOSE_SECONDS = 1.0
 """Time limit for closing a connection during cancellation."""
-MAX_HEAD_BYTES = 64 << 10
-FIRST_FINAL_STATUS = 200
-"""Lower status codes are interim (1xx) responses."""
 Request = httpcore.Request
 
 
-class _ParsedResponse:
-    """State of one response, filled by the callbacks of the httptools parser."""
-
-    def __init__(self) -> None:
-        self.headers: Headers = []
-        self.body = bytearray()
-        self.status = 0
-        self.has_headers = False
-        self.is_complete = False
-        self.keeps_alive = False
-        self.trailer_bytes = 0
-        self.parser = httptools.HttpResponseParser(self)
-
-    def on_message_begin(self) -> None:
-        """Start a message; drop the headers of an interim response before it.
-
-        A message after the response belongs to no request; it ends the connection.
-        """
-        if self.is_complete:
-            raise ValueError("second response to one request")
-        self.headers = []
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; drop a trailer."""
-        if not self.has_headers:
-            self.headers.append((name, value))
-            return
-        self.trailer_bytes += len(name) + len(value)
-        if self.trailer_bytes > MAX_HEAD_BYTES:
-            raise ValueError("trailers too large")
-
-    def on_headers_complete(self) -> None:
-        """Record that all headers have arrived, unless the response is interim."""
-        self.status = self.parser.get_status_code()
-        self.has_headers = self.status >= FIRST_FINAL_STATUS
-
-    def on_body(self, data: bytes) -> None:
-        """Append a chunk to the part of the body that is not read yet."""
-        self.body += data
-
-    def on_message_complete(self) -> None:
-        """Record the end of the response, unless it is interim."""
-        self.is_complete = self.has_headers
-        self.keeps_alive = self.parser.should_keep_alive()
-
-
 class _ClientProtocol(asyncio.Protocol):
     """Feeds received bytes to the parser of the current response.
 
@@ -91,31 +45,37 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
-        self.parsed: _ParsedResponse | None = None
+        self.parsed: ParsedResponse | None = None
         self.error: Exception | None = None
+        self.reader = PacedReader(self._parse, lambda: not self._is_paused)
         self._waiter: asyncio.Future | None = None
         self._is_paused = False
-        self._head_bytes = 0
+        self._received = 0
 
     def connection_made(self, transport) -> None:
         """Store the transport."""
-        self.transport = transport
+        self.transport = self.reader.transport = transport
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes without a pending request are an error."""
+        self.reader.receive(data)
+
+    def _parse(self, data: bytes) -> None:
         parsed = self.parsed
         if parsed is None:
             self._fail(httpcore.RemoteProtocolError("response without a request"))
             return
         try:
-            parsed.parser.feed_data(data)
+            parsed.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(httpcore.RemoteProtocolError(str(error)))
             return
-        if not parsed.has_headers:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._fail(httpcore.RemoteProtocolError("response headers too large"))
+        self._received += len(data)
+        if not parsed.has_headers and self._received > MAX_HEAD_BYTES:
+            self._fail(httpcore.RemoteProtocolError("response headers too large"))
+        framing_bytes = self._received - parsed.body_bytes - len(data)
+        if framing_bytes > get_framing_limit(parsed.body_bytes):
+            self._fail(httpcore.RemoteProtocolError("response framing too large"))
         if len(parsed.body) > MAX_BUFFERED_BYTES and not self._is_paused:
             self._is_paused = True
             self.transport.pause_reading()
@@ -131,6 +91,7 @@
 
     def _fail(self, error: Exception) -> None:
         self.error = self.error or error
+        self.reader.stop()
         self.transport.abort()
         self._wake()
 
@@ -138,17 +99,18 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def start(self, parsed: _ParsedResponse, data: bytes) -> None:
+    def start(self, parsed: ParsedResponse, data: bytes) -> None:
         """Send the encoded request `data`; parse its response into `parsed`."""
         self.parsed = parsed
-        self._head_bytes = 0
+        self._received = 0
         self.transport.write(data)
 
     async def wait(self) -> None:
         """Resume reading, and return once bytes arrive or the connection fails."""
         if self._is_paused:
             self._is_paused = False
-            self.transport.resume_reading()
+            if not self.reader.is_waiting:
+                self.transport.resume_reading()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             if self.error is None:
@@ -171,7 +133,8 @@
         if not self._is_idle:
             raise httpcore.ConnectionNotAvailable
         self._is_idle = False
-        parsed = _ParsedResponse()
+        self._protocol.reader.start_message()
+        parsed = ParsedResponse(self._protocol.reader.credit)
         body = b"".join([part async for part in request.stream])
         self._protocol.start(parsed, _encode_request_head(request) + body)
         while not parsed.has_headers:
@@ -186,7 +149,7 @@
         await self._protocol.wait()
 
     async def _read_body(
-        self, parsed: _ParsedResponse, is_head_request: bool
+        self, parsed: ParsedResponse, is_head_request: bool
     ) -> AsyncIterator[bytes]:
         """Yield the body; the connection becomes idle only at its end."""
         while True:
@@ -197,7 +160,8 @@
             if parsed.is_complete or is_head_request:
                 break
             await self._wait(parsed.is_complete)
-        if is_head_request or not parsed.keeps_alive:
+        has_more = self._protocol.reader.is_waiting
+        if is_head_request or not parsed.keeps_alive or has_more:
             await self.aclose()
             return
         self._protocol.parsed = None
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -1,12 +1,19 @@
-"""What the kernel tells of a connection's socket."""
+"""Options of a connection's socket, and what the kernel tells of it."""
 
 import asyncio
 import fcntl
+import socket
 import sys
 import termios
 
-__all__ = ["count_unsent_bytes"]
+__all__ = ["count_unsent_bytes", "enable_keepalive"]
 
+KEEPALIVE_IDLE_SECONDS = 1
+"""Idle time before the kernel's first TCP keepalive probe."""
+PROBE_COUNT = 2
+"""Unanswered probes, one second apart, after which a connection is dead."""
+USER_TIMEOUT_MS = 3000
+"""Time for which sent bytes may stay unacknowledged: idle time plus probes."""
 _INT_BYTES = 4
 
 
@@ -24,3 +31,17 @@
     except OSError:
         return buffered
     return buffered + int.from_bytes(queued, sys.byteorder)
+
+
+def enable_keepalive(
+    transport: asyncio.Transport, idle_seconds: int = KEEPALIVE_IDLE_SECONDS
+) -> None:
+    """Enable TCP keepalive probes, so that the kernel closes dead connections."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_seconds)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
