Soak: odd rows, long answers, errors in logs, and a host that holds nodes up

New check `own-error`: a task or a call of a process ended in an error of its own, as its operator sees in its log.

The soak notes for how long the kernel let each node wait for a processor, and how late its own loop was. A node that waited for over 0.2 s in a quarter of a second counts as slowed, as by a fault at that node; the report names the seconds.

In `in-time`, answers while the soak's own loop was late are not counted.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,7 +65,9 @@
             f"seed {seed}: {len(report.violations)} violations, {report.runs} runs, "
             f"answers {report.status_counts}, "
             f"faults {sum(report.fault_counts.values())}, "
-            f"memory up to {report.peak_mb:.0f} MB"
+            f"memory up to {report.peak_mb:.0f} MB, "
+            f"held up for {report.stall_seconds:.1f} s, "
+            f"nodes for {report.starved_seconds:.1f} s"
         )
         counts = {**report.fault_counts, **report.behaviour_counts}
         click.echo("  " + ", ".join(f"{k} {n}" for k, n in sorted(counts.items())))
--- a/soak/answers.py
+++ b/soak/answers.py
@@ -6,7 +6,17 @@
 from .connection import compute_digest
 from .records import Run
 
-__all__ = ["ANSWERS", "REFUSED_SHAPE", "UNSERVED_SHAPES"]
+__all__ = [
+    "ANSWERS",
+    "LONG_ANSWER_BYTES",
+    "LONG_SHAPE",
+    "REFUSED_SHAPE",
+    "UNSERVED_SHAPES",
+]
+
+LONG_ANSWER_BYTES = 12 << 20
+"""Size of an answer that no buffer of the kernel takes as a whole."""
+LONG_SHAPE = "long"
 
 DENYING_STATUSES = (408, 429, 503)
 REFUSED_SHAPE = "refuses"
@@ -81,7 +91,8 @@
 ANSWERS: dict[str, Callable[..., Awaitable[bool]]] = {
     "plain": _by_length(20),
     "empty": _by_length(0),
-    "large": _by_length(3 << 20),
+    "large": _by_length(2 << 20),
+    LONG_SHAPE: _by_length(LONG_ANSWER_BYTES),
     "chunks": _in_chunks(65_536, 4096),
     "byte-chunks": _in_chunks(2000, 1),
     "unframed": _until_end,
--- a/soak/behaviours.py
+++ b/soak/behaviours.py
@@ -9,6 +9,7 @@
 
 from standins.meshfleet import HOST, render_request
 
+from .answers import LONG_ANSWER_BYTES, LONG_SHAPE
 from .clients import Client, make_headers, render
 from .records import is_unsafe
 
@@ -22,7 +23,6 @@
 FINAL = (400, 401, 404, 413, 431)
 """Answers after which no client tries again."""
 SLOW_READ_BYTES = 65_536
-LONG_ANSWER_BYTES = 3 << 20
 
 
 async def _use_ready(client: Client) -> None:
@@ -76,8 +76,8 @@
 
 async def _read_slowly(client: Client) -> None:
     """Read a long answer slowly; stop once in the middle and resume."""
-    seconds, stop = client.rng.uniform(0.1, 2.0), client.rng.uniform(0.1, 0.8)
-    node, path = client.choose_node(), client.choose_path(("/long/",), "large")
+    seconds, stop = client.rng.uniform(0.3, 3.5), client.rng.uniform(0.1, 0.8)
+    node, path = client.choose_node(), client.choose_path(("/long/",), LONG_SHAPE)
     received = 0
 
     async def pace(size: int) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -34,6 +34,9 @@
 
 __all__ = ["count_statuses", "find_violations"]
 
+OWN_ERRORS = (b"task-failed", b"call-crashed")
+"""Events by which a node tells its operator of an error of its own."""
+
 
 def _check_leaves(observations: Observations) -> Iterator[Violation]:
     for target in observations.targets:
@@ -175,6 +178,16 @@
             yield Violation("own-end", f"{text}, statuses {node.exit_statuses}")
 
 
+def _check_logs(observations: Observations) -> Iterator[Violation]:
+    """Find tasks and calls of a process that ended in an error of its own."""
+    for node in observations.fleet.nodes:
+        log = node.log_path.read_bytes() if node.log_path.exists() else b""
+        for event in OWN_ERRORS:
+            if count := log.count(b'"event":"%s"' % event):
+                text = f"{node.name} logged {event.decode()} {count} times"
+                yield Violation("own-error", text)
+
+
 def _check_memory(observations: Observations) -> Iterator[Violation]:
     """Find processes that took more than their memory, at which the users end them."""
     for node in observations.fleet.nodes:
@@ -185,7 +198,10 @@
 def _check_recovery(observations: Observations) -> Iterator[Violation]:
     """Check that requests are served again once the faults are over."""
     recovery_start = (
-        max((i.ended for i in observations.injected_faults), default=0.0)
+        max(
+            (i.ended for i in observations.injected_faults if i.kind != "starved"),
+            default=0.0,
+        )
         + AFTEREFFECT_SECONDS
     )
     later = [
@@ -221,6 +237,7 @@
         _check_activation,
         check_lost_answers,
         _check_exits,
+        _check_logs,
         _check_memory,
         _check_recovery,
     )
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -9,21 +9,21 @@
 
 from standins.meshfleet import render_request
 
-from .answers import ANSWERS
+from .answers import ANSWERS, LONG_SHAPE
 from .connection import Connection, Paced, compute_digest, open_connection
 from .fleet import Fleet, Node
 from .records import ROUTES, Record, Run, is_unsafe
 
 __all__ = ["Client", "Clients", "make_headers", "render"]
 
-PAUSE_SECONDS = 0.05
+PAUSE_SECONDS = 0.1
 """Mean pause between two requests of one client."""
 MAX_IDLE_SECONDS = 4.0
 """Idle time up to which a connection is reused: four fifths of the configured time, as
 on the users' platform. Near the whole of it, a request may cross the node's close."""
 BODY_BYTES = (0, 0, 1, 100, 60_000, 65_536)
 """Sizes of the bodies of submissions; the largest travels in parts between nodes."""
-WORK_MS = (5, 5, 60, 60, 200, 600)
+WORK_MS = (5, 5, 5, 20, 60, 60, 200, 600)
 """Times that targets work on requests, so that planned stops meet some."""
 PLAIN_SHARE = 0.8
 """Share of the requests that ask for a short answer by length."""
@@ -44,6 +44,7 @@
         self.added_routes: dict[str, float] = {}
         """Monotonic time at which each route was added, the oldest first."""
         self.fleet = fleet
+        self.is_closed = False
         self._rng = rng
         self._clients: list[Client] = []
         self._request_numbers = itertools.count(1)
@@ -59,7 +60,8 @@
         return client
 
     def close(self) -> None:
-        """Close all kept connections."""
+        """Close all kept connections, and keep no further ones."""
+        self.is_closed = True
         for client in self._clients:
             client.close()
 
@@ -115,11 +117,19 @@
     def choose_path(self, routes: tuple[str, ...] = (), shape: str = "") -> str:
         """Return the path of a new request, on one of `routes` if there are any."""
         route_point, shape_point = self.rng.random(), self.rng.random()
-        drawn_shape = self.rng.choice(list(ANSWERS))
+        drawn_shape = self.rng.choice([name for name in ANSWERS if name != LONG_SHAPE])
         work_ms = self.rng.choice(WORK_MS)
         if not routes:
             added = (f"/{name}/" for name in list(self.clients.added_routes)[-2:])
-            routes = ("/read/", "/read/", "/write/", "/other/", "/post/", *added)
+            routes = (
+                "/read/",
+                "/read/",
+                "/write/",
+                "/other/",
+                "/post/",
+                "/long/",
+                *added,
+            )
         route = routes[int(route_point * len(routes))]
         shape = shape or ("plain" if shape_point < PLAIN_SHARE else drawn_shape)
         return f"{route}{shape}/{work_ms}"
@@ -181,7 +191,8 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        if connection.is_usable and node.name not in self.connections:
+        is_kept = node.name not in self.connections and not self.clients.is_closed
+        if connection.is_usable and is_kept:
             self.connections[node.name] = connection
         else:
             connection.close()
--- a/soak/connection.py
+++ b/soak/connection.py
@@ -19,6 +19,8 @@
 PATIENCE_SECONDS = 1.5
 """Time past the deadline after which a client closes; it exceeds by far what a node may
 overrun."""
+SLOW_READ_SECONDS = 5.0
+"""Further time for clients that read slowly of their own accord."""
 READ_BYTES = 65_536
 MAX_INTERIM_STATUS = 199
 Paced = Callable[[int], Awaitable[None]]
@@ -107,8 +109,9 @@
         answers.parser = httptools.HttpResponseParser(answers)
         sending = asyncio.create_task(self._send(records, parts, answers))
         cause = "connection ended"
+        patience = PATIENCE_SECONDS + (SLOW_READ_SECONDS if pace else 0.0)
         try:
-            async with asyncio.timeout(records[0].deadline + PATIENCE_SECONDS):
+            async with asyncio.timeout(records[0].deadline + patience):
                 while not answers.is_complete:
                     data = await self.reader.read(READ_BYTES)
                     if not data:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,148 +1,40 @@
 """Faults that the soak injects, each a function chosen by its name."""
 
 import asyncio
-import signal
 import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-import attrs
-
-from .fleet import DRAIN_SECONDS, LIMIT_WINDOW_SECONDS, STABLE_SECONDS, Node
+from .fleet import (
+    APPLY_SECONDS,
+    DRAIN_SECONDS,
+    LIMIT_WINDOW_SECONDS,
+    STABLE_SECONDS,
+    Node,
+)
+from .processfaults import PROCESS_FAULTS
 from .proxy import Impairment
-from .target import LEAVE_TRIES
 
 if TYPE_CHECKING:
     from .injector import Injector
 
-__all__ = ["DURATION_SECONDS", "FAULTS", "InjectedFault"]
-
-PLANNED = frozenset(
-    {
-        "term",
-        "hup",
-        "configure",
-        "add-route",
-        "evacuate",
-        "end-host",
-        "stop-service",
-        "stop-centre",
-    }
+__all__ = ["FAULTS"]
+
+ODD_ROWS = [("op", f"{kind}/odd") for kind in ("evacuate", "rollout", "unknown")]
+ODD_ROWS += [("cactusshed", f"{kind}/odd") for kind in ("member", "move", "unknown")]
+_DEEP = b"[" * 20_000 + b"]" * 20_000
+ODD_VALUES = (
+    _DEEP,
+    b'{"unknown":' + _DEEP + b"}",
+    b"\xff{",
+    b"7" * 5000,
+    b"x" * 65_536,
 )
-"""Planned operations: no client may lose an answer through them."""
-DURATION_SECONDS = (0.4, 3.0)
-"""Range of the duration of a fault."""
-STOP_INTERVAL_SECONDS = (0.1, 1.5)
-"""Range of the time between two stops of a series."""
-TURN_SECONDS = (0.02, 0.12)
-"""Range of the times for which a slow host runs and stands still in turns."""
+"""Values of other writers that can't be read: deep, no text, too large, too long."""
 LIMITS = (0.5, 2.0, 7.5)
 """Limits in requests per second that targets name, far below the load on a target."""
 
 
-@attrs.define
-class InjectedFault:
-    """One injected fault; times in monotonic seconds."""
-
-    kind: str
-    node: str
-    began: float
-    ended: float = float("inf")
-
-    @property
-    def is_planned(self) -> bool:
-        """Return whether clients must not be affected."""
-        return self.kind in PLANNED
-
-
-async def _restart(
-    injector: "Injector", node: Node, signal_number: int, downtime: float
-) -> None:
-    await node.stop(signal_number)
-    await asyncio.sleep(downtime)
-    node.start()
-    await injector.fleet.wait_ready(node)
-
-
-async def _term(injector: "Injector", node: Node) -> None:
-    operation = _restart(injector, node, signal.SIGTERM, 0.1)
-    await injector.run_exclusively(node, operation)
-
-
-def _stop_series(has_part: Callable[[Node, Node], bool]) -> Callable:
-    """Return a fault that stops up to half of some nodes, one soon after the other."""
-
-    async def inject(injector: "Injector", node: Node) -> None:
-        others = [n for n in injector.fleet.nodes if n is not node]
-        group = [node, *(n for n in others if has_part(node, n))]
-        async with asyncio.TaskGroup() as tasks:
-            for member in group[: max(2, (len(group) + 1) // 2)]:
-                tasks.create_task(injector.inject("term", member))
-                await asyncio.sleep(injector.rng.uniform(*STOP_INTERVAL_SECONDS))
-
-    return inject
-
-
-async def _end_host(injector: "Injector", node: Node) -> None:
-    """End a target as planned, then its node, and start both again."""
-    target = node.target
-    if not target.is_steady:
-        return
-    if not await target.leave(LEAVE_TRIES):
-        # It ends anyway, as one that crashes: its node does not know.
-        now = time.monotonic()
-        crash = InjectedFault("target-crash", node.name, now, now + DRAIN_SECONDS + 1.0)
-        injector.injected_faults.append(crash)
-    await asyncio.sleep(DRAIN_SECONDS + 1.0)
-    await target.end()
-    await injector.inject("term", node)
-    await target.start(is_cold=True)
-
-
-async def _slow_host(injector: "Injector", node: Node) -> None:
-    async def operation() -> None:
-        end_time = time.monotonic() + injector.draw_duration()
-        while time.monotonic() < end_time:
-            node.signal(signal.SIGSTOP)
-            await asyncio.sleep(injector.rng.uniform(*TURN_SECONDS))
-            node.signal(signal.SIGCONT)
-            await asyncio.sleep(injector.rng.uniform(*TURN_SECONDS))
-
-    await injector.run_exclusively(node, operation())
-
-
-async def _restart_store(injector: "Injector", node: Node) -> None:
-    """Stop and start the store, and a node meanwhile."""
-    proxies = [n.store_proxy for n in injector.fleet.nodes]
-    for proxy in proxies:
-        proxy.impairment = Impairment.REFUSED
-        proxy.reset()
-    async with asyncio.TaskGroup() as tasks:
-        tasks.create_task(injector.inject("term", node))
-        await asyncio.sleep(injector.draw_duration())
-        for proxy in proxies:
-            proxy.impairment = Impairment.NONE
-
-
-async def _kill(injector: "Injector", node: Node) -> None:
-    operation = _restart(injector, node, signal.SIGKILL, injector.rng.uniform(0.1, 1.0))
-    await injector.run_exclusively(node, operation)
-
-
-async def _pause(injector: "Injector", node: Node) -> None:
-    async def operation() -> None:
-        node.signal(signal.SIGSTOP)
-        await asyncio.sleep(injector.draw_duration())
-        node.signal(signal.SIGCONT)
-
-    await injector.run_exclusively(node, operation())
-
-
-async def _hup(_injector: "Injector", node: Node) -> None:
-    if node.process is not None and node.process.poll() is None:
-        node.signal(signal.SIGHUP)
-
-
 def _impair_store(impairment: Impairment) -> Callable:
     async def inject(injector: "Injector", node: Node) -> None:
         node.store_proxy.impairment = impairment
@@ -246,6 +138,16 @@
     injector.clients.added_routes[name] = time.monotonic()
 
 
+async def _write_odd_rows(injector: "Injector", _node: Node) -> None:
+    """Write rows that can't be read beside every kind of row, and remove them."""
+    store, value = injector.fleet.store, injector.rng.choice(ODD_VALUES)
+    for table, key in ODD_ROWS:
+        store.put(table, key, value)
+    await asyncio.sleep(APPLY_SECONDS + injector.draw_duration())
+    for table, key in ODD_ROWS:
+        store.put(table, key, None)
+
+
 async def _evacuate(injector: "Injector", node: Node) -> None:
     if any(ended == float("inf") for *_, ended in injector.evacuations):
         return
@@ -259,15 +161,7 @@
 
 
 FAULTS: dict[str, Callable[["Injector", Node], Awaitable[None]]] = {
-    "term": _term,
-    "kill": _kill,
-    "pause": _pause,
-    "hup": _hup,
-    "stop-service": _stop_series(lambda a, b: a.target.service == b.target.service),
-    "stop-centre": _stop_series(lambda a, b: a.data_centre == b.data_centre),
-    "end-host": _end_host,
-    "slow-host": _slow_host,
-    "store-restart": _restart_store,
+    **PROCESS_FAULTS,
     "store-cut": _impair_store(Impairment.SILENT),
     "store-slow": _impair_store(Impairment.DELAY),
     "store-one-way": _impair_store(Impairment.UP_ONLY),
@@ -294,5 +188,6 @@
     "configure": _configure,
     "add-route": _add_route,
     "evacuate": _evacuate,
+    "odd-rows": _write_odd_rows,
 }
 """Function that injects each fault, by name."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import attrs
@@ -18,7 +19,7 @@
 from standins.rowstore import RowStoreApp, open_row_store
 
 from .proxy import FaultProxy
-from .records import ROUTES
+from .records import ROUTES, InjectedFault
 from .target import SoakTarget
 
 __all__ = [
@@ -59,8 +60,11 @@
 """Time within which a request must arrive; clients stop for less in a body."""
 MEMORY_MB = 300
 """Memory of a node process, as on the users' machines."""
-WATCH_SECONDS = 0.5
+WATCH_SECONDS = 0.25
 """Interval between two looks at all processes."""
+STALL_SECONDS = 0.2
+"""Delay of a look from which on the soak itself counts as held up; a node does if it
+has waited for a processor for so long between two looks, as the kernel counts it."""
 
 
 @attrs.define(eq=False)
@@ -85,6 +89,8 @@
     peak_mb: float = 0.0
     """Peak memory of its processes, as far as seen."""
     is_stopping: bool = False
+    waited: float = 0.0
+    """Time for which the process has waited for a processor, in seconds."""
 
     def start(self) -> None:
         """Write the boot settings and start the process."""
@@ -138,6 +144,15 @@
             if line.startswith("VmHWM:"):
                 self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
 
+    def read_wait(self) -> float:
+        """Return how long it has waited for a processor since the last look."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/schedstat").read_text()
+        except OSError:
+            return 0.0
+        before, self.waited = self.waited, int(text.split()[1]) / 1e9
+        return self.waited - before
+
     @property
     def caller_address(self) -> Address:
         """Return the address to which clients send requests."""
@@ -182,6 +197,10 @@
         self.store_address: Address | None = None
         self.nodes: list[Node] = []
         self.version = 1
+        self.stalls: list[tuple[float, float]] = []
+        """Times in which the soak, with its clients and targets, was held up."""
+        self.starvations: list[InjectedFault] = []
+        """Times in which the host held up a node, which count as unplanned faults."""
         self._folder = folder
         self._rng = rng
         self._tasks: list[asyncio.Task] = []
@@ -211,11 +230,18 @@
     async def _watch(self) -> None:
         """Look at the processes; start those again that have ended by themselves."""
         while True:
+            began = time.monotonic()
+            await asyncio.sleep(WATCH_SECONDS)
+            ended = time.monotonic()
+            if ended > began + WATCH_SECONDS + STALL_SECONDS:
+                self.stalls.append((began, ended))
             for node in self.nodes:
                 node.note_memory()
+                if node.read_wait() > STALL_SECONDS:
+                    starved = InjectedFault("starved", node.name, began, ended)
+                    self.starvations.append(starved)
                 if node.note_exit():
                     node.start()
-            await asyncio.sleep(WATCH_SECONDS)
 
     def configure(self, **routes: dict) -> None:
         """Publish the next version of the configuration, with `routes` added."""
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,8 +8,9 @@
 import attrs
 
 from .clients import Clients
-from .faults import DURATION_SECONDS, FAULTS, InjectedFault
+from .faults import FAULTS
 from .fleet import Fleet, Node
+from .records import InjectedFault
 
 __all__ = ["Injector", "PlannedFault", "plan_faults"]
 
@@ -17,6 +18,9 @@
 """Range of the time between the starts of two faults of one series; shorter than the
 longest faults, so that faults of one series overlap too."""
 
+DURATION_SECONDS = (0.4, 3.0)
+"""Range of the duration of a fault."""
+
 
 @attrs.frozen
 class PlannedFault:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -5,9 +5,8 @@
 
 import attrs
 
-from .faults import InjectedFault
 from .fleet import EVACUATION_SECONDS, Fleet
-from .records import Record, Run
+from .records import InjectedFault, Record, Run
 from .target import SoakTarget
 
 __all__ = [
@@ -82,7 +81,7 @@
 
 def is_isolated(observations: Observations, node: str, moment: float) -> bool:
     """Return whether a fault may have kept a node from reading an evacuation order."""
-    kinds = ("pause", "kill", "term", "slow-host")
+    kinds = ("pause", "kill", "term", "slow-host", "starved")
     return any(
         fault.began <= moment and moment <= fault.ended + EVACUATION_SECONDS
         for fault in observations.injected_faults
@@ -95,7 +94,7 @@
     observations: Observations, node: str | None, since: float, until: float
 ) -> bool:
     """Return whether a node was stopped or paused in some time."""
-    kinds = ("pause", "kill", "term", "slow-host")
+    kinds = ("pause", "kill", "term", "slow-host", "starved")
     return any(
         fault.began <= until and since <= fault.ended
         for fault in observations.injected_faults
--- a/soak/records.py
+++ b/soak/records.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["ROUTES", "Record", "Run", "is_unsafe"]
+__all__ = ["ROUTES", "InjectedFault", "Record", "Run", "is_unsafe"]
 
 ROUTES = {
     "/read/": {},
@@ -15,6 +15,22 @@
 """Routes of the first configuration, to two services."""
 
 
+PLANNED = frozenset(
+    {
+        "term",
+        "hup",
+        "configure",
+        "add-route",
+        "evacuate",
+        "odd-rows",
+        "end-host",
+        "stop-service",
+        "stop-centre",
+    }
+)
+"""Planned operations: no client may lose an answer through them."""
+
+
 def is_unsafe(path: str) -> bool:
     """Return whether a request with this path may run only once."""
     return ROUTES.get(f"/{path.split('/')[1]}/", {}).get("kind") == "unsafe"
@@ -78,3 +94,18 @@
     """0 if it did not end, or its caller had left."""
     status: int = 0
     answer_digest: str = ""
+
+
+@attrs.define
+class InjectedFault:
+    """One injected fault; times in monotonic seconds."""
+
+    kind: str
+    node: str
+    began: float
+    ended: float = float("inf")
+
+    @property
+    def is_planned(self) -> bool:
+        """Return whether clients must not be affected."""
+        return self.kind in PLANNED
--- a/soak/requestchecks.py
+++ b/soak/requestchecks.py
@@ -13,6 +13,7 @@
 """Statuses which guarantee that the request has not run."""
 OWN_FAILURES = frozenset({500, 502, 504})
 """A node's own answers in place of one that a target makes, besides the refusals."""
+HELD_UP_KINDS = ("pause", "slow-host", "starved")
 OVERRUN_SECONDS = 0.5
 """Tolerated delay of an answer beyond its deadline."""
 LOSS_SLACK_SECONDS = 0.2
@@ -72,7 +73,12 @@
         # A client may read slowly, or send its body slowly.
         took = (record.answered or record.ended) - record.sent
         is_late = record.was_sent and took > record.deadline + OVERRUN_SECONDS
-        if is_late and not overlaps_fault(observations, record, ("pause", "slow-host")):
+        if is_late and any(
+            began <= record.ended and record.sent <= ended
+            for began, ended in observations.fleet.stalls
+        ):
+            continue  # The client or its target was late, not the node.
+        if is_late and not overlaps_fault(observations, record, HELD_UP_KINDS):
             text = f"{record.request_id} was answered after {took:.2f} s"
             yield Violation("in-time", text, record.request_id)
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -24,9 +24,9 @@
 """Number of concurrent series of faults."""
 STEADY_PER_NODE = 2
 """Clients of each node that behave as most do."""
-NODES_PER_CLIENT = 3
+NODES_PER_CLIENT = 4
 """Nodes for each client of another behaviour."""
-RARE_PAUSE_SECONDS = 0.2
+RARE_PAUSE_SECONDS = 0.4
 """Mean pause between two turns of a client of another behaviour."""
 RECOVERY_SECONDS = 7.0
 """Time without new faults at the end, for the check that the fleet recovers."""
@@ -45,6 +45,10 @@
     behaviour_counts: dict[str, int]
     """Turns of clients and answers of targets, by name."""
     peak_mb: float
+    stall_seconds: float
+    """Time for which the host held up the soak itself."""
+    starved_seconds: float
+    """The same for the nodes, summed."""
     runs: int
 
 
@@ -110,7 +114,7 @@
     observations = Observations(
         fleet,
         clients.records,
-        injector.injected_faults,
+        [*injector.injected_faults, *fleet.starvations],
         injector.evacuations,
         clients.added_routes,
     )
@@ -124,5 +128,7 @@
         dict(Counter(fault.kind for fault in injector.injected_faults)),
         {**clients.turns, **shapes},
         max(node.peak_mb for node in fleet.nodes),
+        sum(ended - began for began, ended in fleet.stalls),
+        sum(fault.ended - fault.began for fault in fleet.starvations),
         len(observations.runs),
     )
