Soak: a fault at a node that was tried excuses a loss there

A request ran at one target, which answered 500, and was tried at a second one, whose target crashed or whose link to it was cut by an injected fault; only runs told which nodes were concerned, and the second one had none. The nodes that name the request in their log, and those to which they sent it, are concerned too. Allowed by the rule: the target broke off, by an unplanned disruption.

A node and its process get a module of their own.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,7 +11,8 @@
 
 from .answers import ANSWERS, LONG_SHAPE
 from .connection import Connection, Paced, compute_digest, open_connection
-from .fleet import Fleet, Node
+from .fleet import Fleet
+from .node import Node
 from .records import ROUTES, Record, Run, is_unsafe
 
 __all__ = ["Client", "Clients", "make_headers", "render"]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,8 +10,8 @@
     DRAIN_SECONDS,
     LIMIT_WINDOW_SECONDS,
     STABLE_SECONDS,
-    Node,
 )
+from .node import Node
 from .processfaults import PROCESS_FAULTS
 from .proxy import Impairment
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -9,7 +9,8 @@
 
 from .clients import Clients
 from .faults import FAULTS
-from .fleet import Fleet, Node
+from .fleet import Fleet
+from .node import Node
 from .records import InjectedFault
 
 __all__ = ["Injector", "PlannedFault", "plan_faults"]
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -1,5 +1,6 @@
 """What clients, targets and the fault injector saw, and which faults excuse what."""
 
+import re
 from collections import defaultdict
 from collections.abc import Iterable
 
@@ -102,6 +103,19 @@
     )
 
 
+def _find_tried_nodes(observations: Observations, record: Record) -> set[str]:
+    """Return the nodes that log a request, and those to which they sent it."""
+    names: set[str] = set()
+    mark = b'"request":"%s"' % record.request_id.encode()
+    for node in observations.fleet.nodes:
+        log = node.log_path.read_bytes() if node.log_path.exists() else b""
+        for line in log.splitlines():
+            if mark in line:
+                found = re.findall(rb'"target":"(\w+)"', line)
+                names |= {node.name, *(name.decode() for name in found)}
+    return names - {record.node}
+
+
 def find_excuse(
     observations: Observations, record: Record, nodes: Iterable[str]
 ) -> InjectedFault | None:
@@ -109,7 +123,8 @@
 
     "Disruption of the store alone excuses nothing for safe and unsafe requests."
     """
-    concerned = {record.node, *nodes} if nodes else None
+    tried = _find_tried_nodes(observations, record)
+    concerned = {record.node, *nodes, *tried} if nodes or tried else None
     for fault in observations.injected_faults:
         if fault.is_planned or fault.kind.startswith("store-"):
             continue
--- a/soak/processfaults.py
+++ b/soak/processfaults.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-from .fleet import DRAIN_SECONDS, Node
+from .fleet import DRAIN_SECONDS
+from .node import Node
 from .proxy import Impairment
 from .records import InjectedFault
 from .target import LEAVE_TRIES
--- a/soak/requestchecks.py
+++ b/soak/requestchecks.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from .behaviours import CROSSING_KINDS
-from .fleet import GRACE_SECONDS
+from .node import GRACE_SECONDS
 from .observations import Observations, Violation, find_excuse, overlaps_fault
 from .records import ROUTES, Record, Run, is_unsafe
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -286,6 +286,21 @@
     assert_that(find_violations(observations), Equals([]))
 
 
+def test_fault_at_a_node_that_was_tried_excuses_a_loss(tmp_path):
+    """A request that ran elsewhere may be lost at the target of its second try."""
+    path = tmp_path / "n.log"
+    path.write_text('{"event":"call-failed","request":"r","target":"m"}\n')
+    values = {
+        "records": [make_record(status=502)],
+        "runs": [make_run()],
+        "injected_faults": [InjectedFault("target-crash", "m", 9.0, 12.0)],
+    }
+    excused = find_violations(make_observations(**values, log_path=path))
+    assert_that(excused, Equals([]))
+    found = find_violations(make_observations(**values))
+    assert_that([v.guarantee for v in found], Equals(["lost"]))
+
+
 def test_error_in_a_log_is_detected(tmp_path):
     """A task that failed and was started again is seen by the operator alone."""
     path = tmp_path / "n.log"
