An outcome query on a closing link leaves the node its turns

Callers of a node got no answer at all for as long as a submission had left, up to its whole timeout: the node stood still, with all of its requests, pings and health checks.

Cause: a link whose other side has ended, with data still to be sent, takes no frames but is not lost yet. A submission sent to that node then asks for its outcome; each query failed at once and was repeated without a turn of the event loop, so the loss that would have ended it was never handled. A node that ends while others send it large bodies is enough, hence a planned stop.

Now every failed query is followed by the pause that only lost nodes had.

--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -1,6 +1,7 @@
 """Calls sent to other nodes that await a result, and detection of silent links."""
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Callable
 
@@ -201,11 +202,10 @@
                     return None
                 left_ms = max(1, int(remaining * 1000))
                 query = OutcomeQuery(0, call.request_id, call.attempt, left_ms)
-                try:
+                with contextlib.suppress(LinkLost, TimeoutError):
                     async with asyncio.timeout(remaining):
                         return await self.send(member, query)
-                except (LinkLost, TimeoutError):
-                    continue
+            # A closing link takes no query, and is lost only in a turn of the loop.
             member.wake.set()
             await asyncio.sleep(OUTCOME_RETRY_SECONDS)
         return None
