The product's listener bounds heads, trailers and framing of requests

A client that sent a head without end, one header, many of them, or trailers, filled the memory of the node: uvicorn's protocol keeps them all and has no limit. Framing without end, and a body behind its refusal, were read for as long as the client sent, and requests in tiny chunks or trailers took the loop from the others (they waited 2.1 to 2.5 s).

Heads and trailers are limited to 64 KiB, framing as elsewhere; 8 MiB of a request are read after its response, as many as before a refusal, and messages of many parts are parsed in turns, as those of the mesh are.

A body and an extension of a chunk were still read after 8 s.

--- a/cactusshed/serve/asgi.py
+++ b/cactusshed/serve/asgi.py
@@ -12,6 +12,7 @@
 from .messages import Answered, Headers, NotRun, Outcome, Unknown
 
 __all__ = [
+    "MAX_DISCARDED_BYTES",
     "Disconnected",
     "read_body",
     "send_error",
@@ -24,7 +25,8 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 MAX_DISCARDED_BYTES = 8 << 20
-"""Bytes past the limit that are read before an oversized body is refused."""
+"""Bytes past the limit that are read before an oversized body is refused, and as many
+after a response that came before the end of its request."""
 SERVICE_UNAVAILABLE = 503
 TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -8,12 +8,16 @@
 import anyio
 import httptools
 import uvicorn
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..options import Address
+from ..parseturns import PacedReader
+from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, get_framing_limit
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
 from ..sockets import count_unsent_bytes
+from .asgi import MAX_DISCARDED_BYTES
 
 __all__ = ["Listener", "open_socket"]
 
@@ -22,12 +26,37 @@
 MAX_CONTROL_CONNECTIONS = 200
 
 
+class _Flow(FlowControl):
+    """Does not resume reading while received bytes are not parsed."""
+
+    def __init__(self, reader: PacedReader) -> None:
+        """Control the transport of `reader`."""
+        super().__init__(reader.transport)
+        self._reader = reader
+
+    def resume_reading(self) -> None:
+        """Resume reading, at once or after the last turn of the reader."""
+        self.read_paused = False
+        if not self._reader.is_waiting:
+            self._transport.resume_reading()
+
+
 class _Protocol(HttpToolsProtocol):
-    """Ignores offers of another protocol; refuses a body in a coding besides chunks."""
+    """Ignores offers of another protocol; refuses a body in a coding besides chunks.
+
+    Heads and framing are bounded, and messages of many parts are parsed in turns.
+    """
 
     def __init__(self, *args, **kwargs) -> None:
         """Replace the parser of uvicorn's protocol."""
         super().__init__(*args, **kwargs)
+        self._reader = PacedReader(self._parse, lambda: not self.flow.read_paused)
+        self._in_body = False
+        self._received = 0
+        self._body_bytes = 0
+        self._chunk_count = 0
+        self._discarded = 0
+        self._trailer_bytes = 0
         self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
 
     def _make_parser(self) -> httptools.HttpRequestParser:
@@ -36,10 +65,75 @@
         parser.set_dangerous_leniencies(lenient_data_after_close=True)
         return parser
 
+    def connection_made(self, transport) -> None:
+        """Replace the flow control of uvicorn's protocol."""
+        super().connection_made(transport)
+        self._reader.transport = transport
+        self.flow = _Flow(self._reader)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Drop what is not parsed."""
+        self._reader.stop()
+        super().connection_lost(error)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes within the limits."""
+        self._reader.receive(data)
+
+    def _parse(self, data: bytes) -> None:
+        self._received += len(data)
+        counted_bytes = self._body_bytes
+        super().data_received(data)
+        size = max(0, self._body_bytes - counted_bytes)
+        self._reader.credit.take(self._chunk_count, size)
+        self._chunk_count = 0
+        if self.transport.is_closing():
+            self._reader.stop()
+        elif not self._in_body and self._received > MAX_HEAD_BYTES:
+            self._refuse("Request head is too large.")
+        elif self._in_body and self.cycle.response_complete:
+            self._discarded += len(data)
+            if self._discarded > MAX_DISCARDED_BYTES:
+                self._reader.stop()
+                self.transport.close()
+        elif self._in_body:
+            framing_bytes = self._received - self._body_bytes - len(data)
+            if framing_bytes > MAX_HEAD_BYTES + get_framing_limit(self._body_bytes):
+                self._refuse("Request has too much framing.")
+
+    def _refuse(self, cause: str) -> None:
+        self._reader.stop()
+        self.send_400_response(cause)
+
+    def on_message_begin(self) -> None:
+        """Start to count the bytes of a request."""
+        super().on_message_begin()
+        self._reader.start_message()
+        self._in_body = False
+        self._body_bytes = self._chunk_count = 0
+        self._discarded = self._trailer_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; drop a trailer."""
+        self._reader.credit.take(1)
+        if not self._in_body:
+            super().on_header(name, value)
+            return
+        self._trailer_bytes += len(name) + len(value) + LINE_BYTES
+        if self._trailer_bytes > MAX_HEAD_BYTES:
+            raise ValueError("trailers are too large")
+
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body."""
+        self._chunk_count += 1
+        self._body_bytes += len(body)
+        super().on_body(body)
+
     def on_headers_complete(self) -> None:
         """Start the request, unless its head is parsed again."""
         if self.parser.has_offer:
             return
+        self._in_body = True
         if has_unknown_coding(self.headers):
             raise ValueError("transfer coding is not supported")
         super().on_headers_complete()
@@ -47,6 +141,8 @@
     def on_message_complete(self) -> None:
         """End the request, unless it is parsed again."""
         if not self.parser.has_offer:
+            self._in_body = False
+            self._received = 0
             super().on_message_complete()
 
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -129,7 +129,7 @@
 
 
 @pytest.mark.parametrize("action", TINY)
-@pytest.mark.parametrize("kind", ["mesh"])
+@pytest.mark.parametrize("kind", list(LISTENERS))
 def test_requests_in_tiny_parts_leave_others_their_time(kind, action):
     """One client's requests in chunks of a byte took the loop from all the others."""
 
