A move waits for old gates that its holder can't reach

Callers of a node whose link to the holder of a move was cut were still sent to the old version's targets after `complete`, when these stop at once.

- The node learned of the later stages and of the closing only from the row in the store, which it read after 2.5 s without a renewal and half a second more for each node that would take the move over before it.
Now only the takeover waits for the rank; the row is read after 2.5 s, and once a second from then on.
- The holder asked only the gates with a link whether they still run calls of the old version.
It now waits 3 s for the others, in which they read the closing, but not past 0.9 of the move's time.
A gate that has ended delays the move by as much.

A gate that reaches neither the holder nor the store within these 3 s is not waited for any longer.

--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -88,17 +88,28 @@
             await self._advance(tracked, order)
             return
         since = tracked.updated_at if is_current else self._orders_seen[service][1]
-        takeover_delay = TAKEOVER_SECONDS if is_current else 0.0
-        if now - since < takeover_delay + RANK_DELAY_SECONDS * self._get_node_rank():
+        if is_current:
+            since += TAKEOVER_SECONDS
+            if now >= since and now - tracked.read_at >= RENEW_SECONDS:
+                # The holder may be well, but out of this node's reach.
+                tracked.read_at = now
+                _, has_advanced = await self._read_row(service, order)
+                if has_advanced:
+                    return
+        if now - since < RANK_DELAY_SECONDS * self._get_node_rank():
             return
         await self._take_over(service, order)
 
-    async def _take_over(self, service: str, order: StoredOrder) -> None:
-        """Read the row, then start or continue the move as its holder."""
+    async def _read_row(self, service: str, order: StoredOrder) -> tuple[int, bool]:
+        """Return the row's version, and whether another node has advanced the move."""
         version, stored = await read_move(self.store, service)
         is_newer = stored is not None and self.moves.merge_move(stored, version)
-        if is_newer and stored.order >= order.version:
-            # Another node has advanced or ended the move in the meantime.
+        return version, is_newer and stored.order >= order.version
+
+    async def _take_over(self, service: str, order: StoredOrder) -> None:
+        """Read the row, then start or continue the move as its holder."""
+        version, has_advanced = await self._read_row(service, order)
+        if has_advanced:
             return
         tracked = self.moves.tracked.get(service)
         if tracked is not None and tracked.move.order >= order.version:
--- a/cactusshed/mesh/moveevidence.py
+++ b/cactusshed/mesh/moveevidence.py
@@ -18,6 +18,11 @@
 MIN_CLOSING_SECONDS = 0.6
 """Minimum time for which the old version is closed before the move completes: the
 time for one update of the move and two reports of the gates."""
+UNREACHABLE_SECONDS = 3.0
+"""Time for which a gate that can't be reached is waited for: two missed renewals of the
+move, after which it reads the move's row, and one step."""
+MAX_CLOSING_FRACTION = 0.9
+"""Fraction of the move's time after which unreachable gates are not waited for."""
 MAX_REPORT_AGE_SECONDS = 1.5
 """Age above which the report of a gate counts as missing."""
 
@@ -79,7 +84,7 @@
             return False
         if now - tracked.last_open_at < MIN_CLOSING_SECONDS:
             return False
-        for name in self._list_old_gates(move):
+        for name in self._list_old_gates(move, now - tracked.last_open_at):
             report, received = self.moves.reports.get(name, (None, 0.0))
             if (
                 report is None
@@ -89,11 +94,21 @@
                 return False
         return True
 
-    def _list_old_gates(self, move: Move) -> Iterator[str]:
-        """Yield the nodes whose gates may still send calls to the old version."""
-        for member in self.peers.list_connected(move.service):
+    def _list_old_gates(self, move: Move, closed_seconds: float) -> Iterator[str]:
+        """Yield the nodes whose gates may still send calls to the old version.
+
+        A gate without a link reads the closing from the store, or has ended.
+        """
+        awaits_unreachable = (
+            closed_seconds < UNREACHABLE_SECONDS
+            and move.elapsed < MAX_CLOSING_FRACTION * move.seconds
+        )
+        for member in self.peers.members.values():
             state = member.state
-            if state.version == move.source and not state.leave_acknowledged:
+            is_old = member.service == move.service and state.version == move.source
+            if not is_old or state.leave_acknowledged:
+                continue
+            if member.is_up or awaits_unreachable:
                 yield member.node
         if move.service == self.service and self.gate.version == move.source:
             yield self.node
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -37,6 +37,8 @@
     """Number of interim checks of the new version."""
     last_open_at: float = 0.0
     """Last time at which the old version was still open to new requests."""
+    read_at: float = 0.0
+    """Last time at which this node read the row because it was not renewed."""
     errors: ErrorEvidence = attrs.Factory(ErrorEvidence)
 
     def get_elapsed(self) -> float:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,12 +1,20 @@
 """Tests of roll-outs: evidence of each stage, probes, simulated roll-outs."""
 
+import asyncio
+from types import SimpleNamespace
+
 import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
 from bench.rollouts import Fault, Version, simulate_rollout
+from cactusshed.mesh import movecontroller, moveevidence
 from cactusshed.mesh.crashes import CrashTracker
+from cactusshed.mesh.frames import TargetState
+from cactusshed.mesh.member import Member
+from cactusshed.mesh.moves import TrackedMove
+from cactusshed.options import Address
 from cactusshed.policy.comparison import Sample
 from cactusshed.policy.errorevidence import ErrorEvidence, is_excessive
 from cactusshed.policy.rollout import (
@@ -19,8 +27,11 @@
     advance_move,
     compute_share,
 )
+from standins.meshfleet import wait_for
+from standins.ports import choose_port
 
 from .meshes import make_call, open_gate, run_async
+from .test_sidecar import open_fleet
 
 ROLLOUTS = 20
 STEP_SECONDS = 0.25
@@ -216,3 +227,63 @@
     """Lost or late answers and failed calls of a target say nothing of its version."""
     reported = report_one(monkeypatch, script, unsuccessful_calls)
     assert_that(reported, Equals(expected))
+
+
+def cut_link(one, other, monkeypatch):
+    """Close the links between two nodes, and let neither dial the other again."""
+    for node, peer in ((one, other), (other, one)):
+        peers = node.sidecar.peers
+        add, name = peers.add, peer.settings.node
+
+        def add_others(node, address, add=add, name=name):
+            if node != name:
+                add(node, address)
+
+        monkeypatch.setattr(peers, "add", add_others)
+        member = peers.members[name]
+        member.address = Address("127.0.0.1", choose_port())
+        member.link.close()
+
+
+def test_move_waits_for_a_gate_that_its_holder_cannot_reach(monkeypatch):
+    """The gate had kept sending calls to the old version, which stops at `complete`."""
+    monkeypatch.setattr(movecontroller, "RANK_DELAY_SECONDS", 4.0)
+
+    async def work():
+        async with open_fleet("n1", "n2") as (fleet, (holder, remote)):
+            # The other node's name gives `remote` a higher rank for a takeover.
+            between = await fleet.start("n1b", "b")
+            await wait_for(between.is_reachable_and_ready)
+            new = await fleet.start("n3")
+            await wait_for(new.is_reachable_and_ready)
+            await new.announce(version="v2", born=5000)
+            order = {"service": "a", "to": "v2", "duration": "10s"}
+            fleet.store.put_json("op", "rollout/a", order)
+            await wait_for(lambda: remote.sidecar.moves.get_share("a") > 0.1)
+            cut_link(holder, remote, monkeypatch)
+            while b"complete" not in fleet.store.rows["status", "rollout/a"][0]:
+                await remote.request("/read/x")
+                await asyncio.sleep(0.01)
+            before = remote.target.runs.total()
+            for _ in range(20):
+                await remote.request("/read/x")
+            moves = (holder.sidecar.moves, remote.sidecar.moves)
+            holders = {m.tracked["a"].move.holder for m in moves}
+            return remote.target.runs.total() - before, holders
+
+    assert_that(run_async(work), Equals((0, {"n1"})))
+
+
+def test_unreachable_gate_has_time_to_read_the_closing(monkeypatch):
+    """A move had completed without the gates that its holder had lost."""
+    times = iter((101.0, 102.5, 103.5))
+    monkeypatch.setattr(moveevidence, "read_monotonic", lambda: next(times))
+    member = Member("n2", Address("127.0.0.1", 1), service="s")
+    member.state = TargetState(name="i-n2", version="v1")
+    peers = SimpleNamespace(members={"n2": member})
+    moves = SimpleNamespace(reports={})
+    evidence = moveevidence.MoveEvidence("n1", "other", None, peers, moves)
+    move = Move("s", "v2", "v1", 1, 30.0, state=CLOSING, elapsed=23.0)
+    tracked = TrackedMove(move, last_open_at=100.0)
+    drained = [evidence.is_drained(tracked) for _ in range(3)]
+    assert_that(drained, Equals([False, False, True]))
