A retired link is closed after the last call on it

Nodes kept a dead link, and its socket, for each cut of the network until the kernel gave the connection up.

Cause: a call that is given up on a link without data keeps that link under watch until data arrives. A link that is replaced as silent is closed once nothing is awaited on it, and the watch, which no data could end, counted as that.

The watch of a link now ends when it is replaced: its silence has been found.

Evidence: tests/test_retired_links.py; the link was still open before.

--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -119,6 +119,8 @@
     def _note_given_up(self, pending: _PendingCall) -> None:
         """Keep watching a link whose calls end before its silence is found."""
         link = pending.link
+        if link.is_retired:
+            return
         known = self._given_up.get(link, float("-inf"))
         if link.last_received <= pending.sent and known < link.last_received:
             self._given_up[link] = pending.sent
@@ -166,6 +168,7 @@
         over another link.
         """
         link.is_retired = True
+        self._given_up.pop(link, None)
         waiting = [
             pending
             for pending in self._pending.values()
