A read on a used connection between nodes is awaited while its target is at work

In the product's fleet, reads that took longer than `first-byte-ms` (1.5 s by default, of a timeout of 5 s) on a connection used before were broken off while their targets were at work. They began again at the same target, and callers got a 504 for reads that would have been answered in time, or a refusal where the target's node was leaving by then.

Cause: the time is there to find connections that have gone silent, but it ended the call as well as the connection: closing it cancels the run, and only then was the call's outcome queried.

Now the other node is asked first, over a new connection, whether the read is running. As long as it is, the answer is awaited; otherwise the connection is given up as before. Calls that can't be repeated are left: their run goes on and its answer is kept for the query.

--- a/cactusshed/serve/messages.py
+++ b/cactusshed/serve/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "SETTLED_NOT_RUN",
+    "STILL_RUNNING",
     "TARGET_DIED",
     "Answered",
     "Call",
@@ -99,6 +100,8 @@
 
 TARGET_DIED = "target-died"
 """Code of an unknown outcome when the target broke the connection."""
+STILL_RUNNING = "still-running"
+"""Code of an unknown outcome of a call that its target is running."""
 SETTLED_NOT_RUN = "settled-not-run"
 """Code of a call that had not started when its outcome was queried.
 
--- a/cactusshed/serve/peerclient.py
+++ b/cactusshed/serve/peerclient.py
@@ -13,7 +13,16 @@
 from . import headers as header_names
 from .connection import make_request
 from .headers import filter_end_to_end, find_header, read_count, strip_internal_headers
-from .messages import Answered, Call, Headers, NotRun, Outcome, Reply, Unknown
+from .messages import (
+    STILL_RUNNING,
+    Answered,
+    Call,
+    Headers,
+    NotRun,
+    Outcome,
+    Reply,
+    Unknown,
+)
 from .pool import AnswerMissing, ConnectionPool, NotSent
 
 __all__ = ["MAX_REPORT_AGE_SECONDS", "Load", "PeerClient"]
@@ -72,6 +81,11 @@
     async def call(self, call: Call, endpoint: Endpoint) -> Outcome:
         """Send `call` to the node of `endpoint` and return its outcome."""
         member = endpoint.member
+
+        async def is_running() -> bool:
+            outcome = await self._query_outcome(call, endpoint, call.deadline)
+            return outcome == Unknown(STILL_RUNNING)
+
         request = make_request(
             member.calls_address,
             call.method,
@@ -85,6 +99,8 @@
                 deadline=call.deadline,
                 first_byte_timeout=call.route_settings.first_byte_timeout,
                 recent_only=not call.idempotent,
+                # The answers of others are kept, and queried once they have ended.
+                is_running=is_running if call.idempotent else None,
             )
         except NotSent:
             return NotRun("peer-unreachable")
--- a/cactusshed/serve/peerserver.py
+++ b/cactusshed/serve/peerserver.py
@@ -15,7 +15,15 @@
 from .disconnect import DisconnectWatcher
 from .gates import Gates
 from .headers import filter_end_to_end, find_header, read_count, strip_internal_headers
-from .messages import SETTLED_NOT_RUN, Call, Headers, NotRun, Outcome, Unknown
+from .messages import (
+    SETTLED_NOT_RUN,
+    STILL_RUNNING,
+    Call,
+    Headers,
+    NotRun,
+    Outcome,
+    Unknown,
+)
 
 __all__ = ["PeerApp"]
 
@@ -114,7 +122,7 @@
     if record.state == CallState.ANSWERED:
         return record.answer
     if record.state == CallState.RUNNING:
-        return Unknown("still-running")
+        return Unknown(STILL_RUNNING)
     return Unknown("ended-unknown")
 
 
--- a/cactusshed/serve/pool.py
+++ b/cactusshed/serve/pool.py
@@ -1,7 +1,9 @@
 """Connection pools: the open connections of this node to one address."""
 
+import asyncio
+import contextlib
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import anyio
 import attrs
@@ -109,13 +111,16 @@
         deadline: float,
         first_byte_timeout: float,
         recent_only: bool,
+        is_running: Callable[[], Awaitable[bool]] | None = None,
     ) -> Reply:
         """Send `request` and return the response.
 
         With `recent_only`, only a new connection or one that responded within
         `RECENT_SECONDS` is used. On a reused connection the response must arrive
         within `first_byte_timeout` seconds; otherwise the connection and all idle
-        ones at least as old are closed. Raises `NotSent` or `AnswerMissing`.
+        ones at least as old are closed. With `is_running`, which asks over another
+        connection, the response is awaited while the request runs. Raises `NotSent`
+        or `AnswerMissing`.
         """
         now = self._last_used = read_monotonic()
         pooled = await self._take_idle(now, recent_only)
@@ -123,10 +128,13 @@
         if pooled is None:
             pooled = await self._open(deadline - now)
         timeout = deadline - read_monotonic()
-        if reused:
+        is_watched = reused and is_running is not None and first_byte_timeout < timeout
+        if reused and not is_watched:
             timeout = min(timeout, first_byte_timeout)
         try:
-            with anyio.fail_after(timeout):
+            with anyio.fail_after(timeout) as scope, contextlib.ExitStack() as stack:
+                if is_watched:
+                    stack.enter_context(_watch(scope, first_byte_timeout, is_running))
                 reply = await exchange(pooled.connection, request)
         except TimeoutError as error:
             if reused:
@@ -224,3 +232,26 @@
             await close_connection(pooled.connection)
             raise self._make_error(str(error) or type(error).__name__) from error
         await self._release(pooled)
+
+
+@contextlib.contextmanager
+def _watch(
+    scope: anyio.CancelScope, seconds: float, is_running: Callable[[], Awaitable[bool]]
+) -> Iterator[None]:
+    """End `scope` as timed out once `is_running`, asked at intervals, denies it."""
+    loop = asyncio.get_running_loop()
+    tasks: list[asyncio.Task] = []
+
+    async def watch() -> None:
+        while await is_running():
+            await asyncio.sleep(seconds)
+        scope.deadline = anyio.current_time()
+
+    # A task for each exchange would cost more than most exchanges.
+    timer = loop.call_later(seconds, lambda: tasks.append(loop.create_task(watch())))
+    try:
+        yield
+    finally:
+        timer.cancel()
+        for task in tasks:
+            task.cancel()
