The answer of a second target is not replaced by a timeout of the first

A read whose first target stays silent is tried at a second one. If that one answered with a failure, the client got a 504 of the node instead.

Cause: the node awaited the first target until the result of its gate, which comes 0.05 s after the deadline and the way between the nodes. The node's own wait ends 0.06 s after the deadline, so where the way took more than 0.01 s its 504 came first.

The wait for a silent target now ends at the deadline if another one has answered.

Evidence: tests/test_silence.py; before, the call was held until the result of the first.

--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch of calls by the node that received them: target choice and retries."""
 
+import asyncio
 import copy
 import random
 
@@ -57,7 +58,7 @@
         try:
             result = await self._try_targets(plan, state)
             if not is_success(result) and state.silent:
-                result = await state.silent.await_success() or result
+                result = await _await_silent(plan, state, result)
         finally:
             state.silent.cancel()
         refusals = [refusal.code for refusal in state.refusals]
@@ -244,6 +245,20 @@
         )
 
 
+async def _await_silent(plan: CallPlan, state: DispatchState, other: Result) -> Result:
+    """Return the success of a silent attempt, `other` if there is none.
+
+    The answer of another target is returned at the deadline; what is no answer waits as
+    long as the caller does.
+    """
+    remaining = plan.deadline - read_monotonic()
+    try:
+        async with asyncio.timeout(remaining if other.outcome == ANSWERED else None):
+            return await state.silent.await_success() or other
+    except TimeoutError:
+        return other
+
+
 def _is_tried_beside(state: DispatchState) -> bool:
     """Return whether a target has not answered, so that others are tried beside it."""
     return state.failure is not None and state.failure.code == TARGET_SILENT
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -25,6 +25,8 @@
 
 WORK_SECONDS = 0.02
 DEADLINE_MS = 3000
+PLAN_SECONDS = 1.0
+"""Time until the deadline of a dispatched call."""
 
 
 async def run_beside(opened, calls, on_silent, count=80):
@@ -213,7 +215,7 @@
             type(candidates).list_open = lambda *_: iter(nodes)
             peers = FakePeers(results)
             dispatcher = Dispatcher(candidates, peers, opened.gate, Counters())
-            deadline = read_monotonic() + 1.0
+            deadline = read_monotonic() + PLAN_SECONDS
             plan = CallPlan(
                 make_call(), deadline, deadline, 2, lambda: "", lambda _version: ""
             )
@@ -271,6 +273,15 @@
     assert_that(dispatch(results), Equals((ANSWERED, b"failure", 0)))
 
 
+def test_failure_of_the_second_target_is_not_replaced_by_a_timeout():
+    """The client got a 504: the wait for the first target ended later than its own."""
+    started = time.monotonic()
+    silent_seconds = 4 * PLAN_SECONDS
+    results = [(TIMEOUT, silent_seconds), make_answer(b"failure", 500)]
+    assert_that(dispatch(results), Equals((ANSWERED, b"failure", 1)))
+    assert_that(time.monotonic() - started, LessThan(silent_seconds))
+
+
 @pytest.mark.parametrize("service", ["a", "b"])
 @pytest.mark.parametrize("is_stopped", [False, True])
 def test_slow_reads_are_answered_though_no_other_target_is_left(service, is_stopped):
