Answers of the store share one budget

Each connection to the store had 16 MiB for an answer of its own. With a store that sends without end, six calls at a time took 113 MB, of a process that has 200 MB for everything.

The test (test_answers_of_the_store_are_bounded_together) failed before with 112,821,492 bytes, where twice 16 MiB and the buffers for reading, 46,137,344 bytes, are allowed.

--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -17,10 +17,12 @@
     PlatformUnavailable,
 )
 from ..fields import read_int, read_list
+from ..mesh.answermeter import MAX_ANSWER_BYTES
 from ..mesh.pool import ConnectionPool
 from ..mesh.upstream import Answer, NotSent, UpstreamFailed
 from ..observe.counters import Counters
 from ..options import Address
+from ..policy.bodybudget import BodyBudget
 from .storedrows import StoredRow, find_last_key, read_rows
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
@@ -68,7 +70,8 @@
         self, address: Address, counters: Counters, timeout: float | None = None
     ) -> None:
         """Use the store at `address`, allowing `timeout` seconds per call."""
-        self._pool = ConnectionPool(address, b"")
+        self._budget = BodyBudget(MAX_ANSWER_BYTES)
+        self._pool = ConnectionPool(address, b"", self._budget)
         self._counters = counters
         self._timeout = CALL_TIMEOUT_SECONDS if timeout is None else timeout
 
@@ -243,7 +246,7 @@
         """Use the store at another address from now on."""
         if address != self._pool.address:
             self._pool.close()
-            self._pool = ConnectionPool(address, b"")
+            self._pool = ConnectionPool(address, b"", self._budget)
 
     def close(self) -> None:
         """Close the connections."""
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -10,7 +10,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
-from cactusshed.errors import CactusError
+from cactusshed.errors import CactusError, PlatformUnavailable
+from cactusshed.mesh.answermeter import MAX_ANSWER_BYTES
 from cactusshed.mesh.frames import UNKNOWN
 from cactusshed.mesh.framing import MAX_FRAME_BYTES
 from cactusshed.mesh.link import serve_links
@@ -166,6 +167,8 @@
     assert_that(used, Equals(0))
 
 
+STORE_CALLS = 6
+"""Calls to the store at a time: reads, the feed, and writes."""
 READ_ALLOWANCE_BYTES = 2 << 20
 """Memory for a read from a socket and for the parser, besides the body."""
 
@@ -261,6 +264,23 @@
     )
 
 
+def test_answers_of_the_store_are_bounded_together():
+    """Each call to the store had 16 MiB of its own, more than a process has for all."""
+
+    async def run():
+        async with open_endless_server("endless-body") as (address, _):
+            store = RowStore(address, Counters(), timeout=10.0)
+            calls = [store.read_table("t") for _ in range(STORE_CALLS)]
+            results = await asyncio.gather(*calls, return_exceptions=True)
+            store.close()
+        assert_that(
+            [type(r) for r in results], Equals([PlatformUnavailable] * STORE_CALLS)
+        )
+
+    allowance = STORE_CALLS * READ_ALLOWANCE_BYTES
+    assert_that(measure_peak(run), LessThan(2 * MAX_ANSWER_BYTES + allowance))
+
+
 @pytest.mark.parametrize("action", ENDLESS)
 def test_health_check_is_not_fooled(action):
     """A health answer without end is no answer, and ends within its time."""
