A target that was never connected to may have restarted, too

A target that has had no call is known by its heartbeats alone; there was no connection that a crash could close.

Until the first connection is opened, the target may now have restarted unseen.

--- a/cactusshed/mesh/pool.py
+++ b/cactusshed/mesh/pool.py
@@ -39,7 +39,7 @@
         self._identity = identity
         self._idle: deque[Upstream] = deque()
         self._open: set[Upstream] = set()
-        self._disconnected_at = float("inf")
+        self._disconnected_at = float("-inf")
 
     async def acquire(self, *, requires_fresh: bool) -> Upstream:
         """Return a reused or new connection; raise `NotSent`.
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -18,6 +18,9 @@
 
 __all__ = ["make_call", "open_gate", "run_async"]
 
+WARM_RATE = 1000.0
+"""Cold rate of the stand-in target, far above that of any test: unless a test sets
+another, the gate lets in all calls before it has seen the target."""
 TEST_SECONDS = 20.0
 """Timeout of one test; far above what any test needs, so that only a hang fails."""
 
@@ -96,6 +99,7 @@
     gate.version = "v1"
     gate.queue.limit = slots
     gate.set_close_reason("target-unknown", False)
+    gate.cold.adjust(WARM_RATE, 1.0, WARM_RATE)
     gate.cold.set_cold_time(0.0, 0.0)
     ticking = asyncio.create_task(gate.tick())
     try:
