--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -21,7 +21,16 @@
 from .targetclient import exchange_call, filter_headers
 from .upstream import Answer, NotSent, Upstream, UpstreamFailed
 
-__all__ = ["MIN_FAILURE_STATUS", "TARGET_SILENT", "TargetExchange", "is_success"]
+__all__ = [
+    "MIN_FAILURE_STATUS",
+    "TARGET_SILENT",
+    "OnSilent",
+    "TargetExchange",
+    "is_success",
+]
+
+OnSilent = Callable[[], None] | None
+"""Called, at most once, if the target of a call is silent."""
 
 ANSWER_GRACE_SECONDS = 0.05
 """Time past a call's deadline for which a late refusal of the target is accepted."""
@@ -79,12 +88,12 @@
             sent.report = None
 
     async def send(
-        self, call: Call, ticket: Ticket, on_silent: Callable[[], None] | None = None
+        self, call: Call, ticket: Ticket, on_silent: OnSilent = None
     ) -> tuple[Result, Answer | None]:
         """Send a call to the target; return its result, and the answer if it came.
 
-        `on_silent` is called, at most once, if the target is silent. The answer is
-        awaited all the same, until the deadline or until this coroutine is cancelled.
+        After `on_silent` was called the answer is awaited all the same, until the
+        deadline or until this coroutine is cancelled.
         """
         instance = self.get_instance()
         started = read_monotonic()
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -19,7 +19,7 @@
 from ..policy.quarantine import Quarantine
 from ..policy.startlimits import StartLimit, StartLimits, combine_buckets
 from .crashes import CrashTracker, make_fingerprint
-from .exchange import MIN_FAILURE_STATUS, TargetExchange
+from .exchange import MIN_FAILURE_STATUS, OnSilent, TargetExchange
 from .frames import Call, Load, Result
 from .notices import TargetNotices
 from .outcomes import CallOutcomes
@@ -187,13 +187,8 @@
         if self.cold.note_start(now, may_have_restarted=may_have_restarted):
             self.suspect_restart(is_down=False)
 
-    async def run(
-        self, call: Call, on_silent: Callable[[], None] | None = None
-    ) -> Result:
-        """Run a call on the target after it is admitted.
-
-        `on_silent` is called if the target is silent; see `TargetExchange.send`.
-        """
+    async def run(self, call: Call, on_silent: OnSilent = None) -> Result:
+        """Run a call on the target after it is admitted."""
         refusal = self._check(call)
         if refusal:
             return self._refuse(call, refusal)
@@ -221,9 +216,7 @@
     def _refuse(self, call: Call, code: str, retry_after: float = 0.0) -> Result:
         return self.exchange.refuse(call, code, retry_after)
 
-    async def _run_admitted(
-        self, call: Call, on_silent: Callable[[], None] | None = None
-    ) -> Result:
+    async def _run_admitted(self, call: Call, on_silent: OnSilent = None) -> Result:
         now = read_monotonic()
         deadline = now + call.remaining_ms / 1000
         ticket = Ticket(
