A replaced link sends no more of calls that are sent again over the next one

On a link whose packets wait, pings wait as well, so that it is replaced as silent while it is sending. Since it stays open for its reads, it went on with the bodies of submissions too, which the outcome query fences and the node then sends again: the same bytes twice on a link that is short of room. Found by reading.

A call whose body was not sent whole can't have run; it is now cancelled with the link's replacement. What was sent whole is left to the query, as before.

--- a/cactusshed/mesh/bodyparts.py
+++ b/cactusshed/mesh/bodyparts.py
@@ -56,9 +56,12 @@
         self._outgoing.append(_Outgoing(frame.number, memoryview(frame.body)))
         self.advance()
 
-    def cancel(self, number: int) -> None:
-        """Drop the parts of a call that were not sent yet."""
-        self._outgoing = deque(o for o in self._outgoing if o.number != number)
+    def cancel(self, number: int) -> bool:
+        """Drop the parts of a call that were not sent yet; return whether any were."""
+        kept = deque(o for o in self._outgoing if o.number != number)
+        has_unsent = len(kept) < len(self._outgoing)
+        self._outgoing = kept
+        return has_unsent
 
     def advance(self) -> None:
         """Send parts until the transport has enough."""
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -135,6 +135,11 @@
         self._write(encode_frame(frame))
         return True
 
+    def cancel_unsent(self, number: int) -> None:
+        """Cancel a call if its body was not sent whole, so that it can't have run."""
+        if not self.is_closed and self._parts.cancel(number):
+            self._write(encode_frame(Cancel(number)))
+
     def _write(self, data: bytes) -> None:
         self._transport.write(data)
 
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -181,6 +181,7 @@
         self._retired.add(link)
         for number, pending in list(self._pending.items()):
             if pending.link is link and not pending.can_wait:
+                link.cancel_unsent(number)
                 self._fail(number, pending)
         for pending in waiting:
             if pending.frame.reports_silence:
--- a/tests/test_retired_links.py
+++ b/tests/test_retired_links.py
@@ -1,6 +1,7 @@
 """Silent links that are kept only for results that may still come."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
 
@@ -15,6 +16,8 @@
 from .meshes import make_call, run_async
 
 SHORT_SECONDS = 0.1
+UNSENT_BYTES = 32 << 20
+"""Far more than the sockets hold."""
 LONG_SECONDS = 1.5
 """Time of a read that is still awaited when the silence of its link is found."""
 
@@ -66,3 +69,29 @@
             return was_retired, member.link.is_closed
 
     assert_that(run_async(work), Equals((True, True)))
+
+
+def test_retired_link_sends_no_more_of_calls_that_are_not_awaited_on_it():
+    """A slow link went on with bodies that were being sent again over the next one."""
+
+    async def work():
+        pending = PendingCalls(BodyBudget(1 << 20), lambda link: pending.retire(link))
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = Address(*server.getsockname())
+            link = await dial_link(address, pending.handle, pending.fail)
+            link.takes_parts = True
+            member = SimpleNamespace(link=link, is_up=True, node="n2")
+            body = bytes(UNSENT_BYTES)
+            calls = [make_call(), make_call(body=body, is_idempotent=False)]
+            tasks = [asyncio.create_task(pending.send(member, c)) for c in calls]
+            await asyncio.sleep(SHORT_SECONDS)
+            before = link.count_unsent_bytes()
+            pending.retire(link)
+            after = link.count_unsent_bytes()
+            link.close()
+            await asyncio.wait(tasks)
+            for task in tasks:
+                task.exception()
+            return before > UNSENT_BYTES // 2, after < UNSENT_BYTES // 100
+
+    assert_that(run_async(work), Equals((True, True)))
