A connection that closes after its answer stays open until the client has read it

A planned stop that began before a long answer was written ended, as far as it could tell, while its client had half of it: the connection was closed once the rest was in the kernel, so nothing counted its reader any longer.

--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -261,7 +261,15 @@
             # The client may have reset the connection a moment ago.
             with contextlib.suppress(OSError):
                 self._transport.write_eof()
-        self._listener.loop.call_later(LINGER_SECONDS, self._transport.close)
+        self._listener.loop.call_later(LINGER_SECONDS, self._close_once_received)
+
+    def _close_once_received(self) -> None:
+        """Close the connection once the client has received its last response."""
+        if self.count_unsent_bytes() and not self._transport.is_closing():
+            loop = self._listener.loop
+            loop.call_later(LINGER_SECONDS, self._close_once_received)
+        else:
+            self._transport.close()
 
     def time_out(self) -> None:
         """Refuse a request that arrives too slowly."""
