--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -32,6 +32,8 @@
     fleet.wait_targets("dakar-1", "responses", 1)
     thread, answers = start_call(fleet, "dakar-1", "/responses?ms=1500", b"one")
     wait_for("running", lambda: read_running(fleet, "dakar-2") == 1)
+    # The gate counts the call before the target has received it.
+    wait_for("run", lambda: fleet.fetch_runs("responses-1"))
     runs = fleet.fetch_runs("responses-1")
     fleet.processes[killed_process].kill()
     thread.join()
