The failure that a silent target answers is passed on

Callers got a 502 of the node's own where their first target, silent for a while, answered 500 in the end and no other target took the request. Only successes of silent attempts were used. An unexpected error of one attempt is logged and no longer ends the others.

--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -59,6 +59,8 @@
             result = await self._try_targets(plan, state)
             if not is_success(result) and state.silent:
                 result = await _await_silent(plan, state, result)
+            if result.outcome != ANSWERED:
+                result = state.silent.failure or result
         finally:
             state.silent.cancel()
         refusals = [refusal.code for refusal in state.refusals]
--- a/cactusshed/mesh/silentattempts.py
+++ b/cactusshed/mesh/silentattempts.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from ..errors import CactusError
+from ..observe.lines import log_line
 from .exchange import is_success
-from .frames import Result
+from .frames import ANSWERED, Result
 
 __all__ = ["SilentAttempts", "TargetSilent"]
 
@@ -30,6 +30,8 @@
 class SilentAttempts:
     """Silent attempts of one call; the first success of any attempt is its answer."""
 
+    failure: Result | None = None
+    """Last answer of a silent target by which it said that it failed."""
     _cancels: dict[asyncio.Future[Result], Callable[[], object]] = attrs.Factory(dict)
 
     def __bool__(self) -> bool:
@@ -69,16 +71,23 @@
         await asyncio.wait(
             [*self._cancels, *others], return_when=asyncio.FIRST_COMPLETED
         )
-        return next(filter(is_success, self._take_results()), None)
+        for result in self._take_results():
+            if is_success(result):
+                return result
+            if result.outcome == ANSWERED:
+                self.failure = result
+        return None
 
     def _take_results(self) -> Iterator[Result]:
         for later in [later for later in self._cancels if later.done()]:
             del self._cancels[later]
             try:
                 yield later.result()
-            except (CactusError, asyncio.CancelledError):
-                # The link to the gate has ended, and with it the attempt.
+            except asyncio.CancelledError:
                 continue
+            except Exception as error:
+                # Its link has ended, or its gate has failed; others may succeed.
+                log_line("silent-attempt-lost", error=repr(error))
 
     def cancel(self) -> None:
         """End all attempts."""
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -267,6 +267,14 @@
     assert_that(dispatch(results), Equals((ANSWERED, b"first", 0)))
 
 
+def test_failure_that_a_silent_target_answers_is_passed_on():
+    """The client got a 502 of the node's own in its place."""
+    refusals = [msgspec.structs.replace(OVER_BUDGET) for _ in range(11)]
+    for others in (refusals, [MISSING]):
+        results = [(make_answer(b"failure", 500), 0.1), *others]
+        assert_that(dispatch(results), Equals((ANSWERED, b"failure", 0)))
+
+
 def test_silent_target_that_never_answers_leaves_the_failure():
     """Without a success of either target, the client gets the answer of the second."""
     results = [(TIMEOUT, 0.1), make_answer(b"failure", 500)]
