A request accepted after the last check of a stop is not cut off

Introduced with the second check: the stop slept once more between that check and the moment from which requests are refused, and a request accepted in those 20 ms was neither counted nor refused. tests/test_last_requests.py failed before. The stop now goes on from the check without a turn of the event loop; the product's daemon likewise.

--- a/cactusshed/drain.py
+++ b/cactusshed/drain.py
@@ -26,8 +26,10 @@
     """Wait up to `limit` seconds for running calls; count and log those left."""
     quiet_polls = 0
     with anyio.move_on_after(limit):
-        while quiet_polls < QUIET_POLLS:
+        while True:
             quiet_polls = 0 if count_busy() else quiet_polls + 1
+            if quiet_polls == QUIET_POLLS:
+                break
             await anyio.sleep(POLL_SECONDS)
     remaining = count_busy()
     if remaining:
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -45,7 +45,7 @@
     listener.is_closing = True
     end = stop.answer_by
     quiet_polls = 0
-    while quiet_polls < QUIET_POLLS and read_monotonic() < end:
+    while read_monotonic() < end:
         now = read_monotonic()
         spent = now - started
         reading = readers.count_reading(now)
@@ -54,6 +54,8 @@
             listener.close_idle(MIN_IDLE_SECONDS)
             is_busy = listener.count_busy() or inbound.running or reading
             quiet_polls = 0 if is_busy else quiet_polls + 1
+            if quiet_polls == QUIET_POLLS:
+                break
         await asyncio.sleep(POLL_SECONDS)
     # What still arrives over open connections and links gets a refusal.
     stop.is_closed = True
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -4,11 +4,19 @@
 import socket
 import time
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import StartsWith
+from testtools.matchers import Equals, StartsWith
 
-from cactusshed.mesh.shutdown import LAST_ANSWERS_SECONDS, UNREADY_NOTICE_SECONDS
+from cactusshed.clock import read_monotonic
+from cactusshed.mesh.shutdown import (
+    LAST_ANSWERS_SECONDS,
+    QUIET_POLLS,
+    UNREADY_NOTICE_SECONDS,
+    drain,
+)
+from cactusshed.policy.plannedstop import PlannedStop, ReaderProgress
 from standins.meshfleet import MeshFleet, make_document, render_request, wait_for
 
 from .meshes import run_async
@@ -55,3 +63,59 @@
             await fleet.close()
 
     assert_that(run_async(work), StartsWith(b"HTTP/1.1 "))
+
+
+@attrs.define
+class LateListener:
+    """A listener that gets one request right after check number `late_check`."""
+
+    planned_stop: PlannedStop
+    late_check: int
+    checks: int = 0
+    running: int = 0
+    is_closing: bool = False
+    connections: tuple = ()
+
+    def count_busy(self):
+        """Return the number of requests being served."""
+        self.checks += 1
+        if self.checks == self.late_check:
+            asyncio.get_running_loop().call_soon(self.receive)
+        return self.running
+
+    def receive(self):
+        """Accept a request, unless it is refused."""
+        if self.planned_stop.accepts(0.0):
+            self.running += 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(LAST_ANSWERS_SECONDS + 0.4, self.answer)
+
+    def answer(self):
+        """End the request."""
+        self.running -= 1
+
+    def close_idle(self, _min_idle=0.0):
+        """Do nothing."""
+
+    def stop(self):
+        """Do nothing."""
+
+
+@pytest.mark.parametrize("late_check", range(1, QUIET_POLLS + 1))
+def test_request_accepted_after_the_last_check_is_not_cut_off(monkeypatch, late_check):
+    """A read got a 502 at the end of a stop, while its target was at work on it.
+
+    It came after the check that ended the stop, and before requests were refused.
+    """
+    monkeypatch.setattr("cactusshed.mesh.shutdown.UNREADY_NOTICE_SECONDS", 0.0)
+
+    async def work():
+        now = read_monotonic()
+        stop = PlannedStop()
+        stop.begin(now, now + 4.0)
+        listener = LateListener(stop, late_check)
+        inbound = attrs.make_class("Inbound", {"running": attrs.field(default=0)})()
+        await drain(listener, inbound, stop, ReaderProgress([]))
+        return listener.running
+
+    assert_that(run_async(work), Equals(0))
