--- a/soak/behaviours.py
+++ b/soak/behaviours.py
@@ -78,14 +78,19 @@
     """Read a long answer slowly; stop once in the middle and resume."""
     seconds, stop = client.rng.uniform(0.3, 3.5), client.rng.uniform(0.1, 0.8)
     node, path = client.choose_node(), client.choose_path(("/long/",), LONG_SHAPE)
-    received = 0
+    received, began = 0, 0.0
 
     async def pace(size: int) -> None:
-        nonlocal received
+        nonlocal received, began
+        now = time.monotonic()
+        began = began or now
         was_half = received > LONG_ANSWER_BYTES / 2
         received += size
-        await asyncio.sleep(seconds * size / LONG_ANSWER_BYTES)
+        # By the clock: with many nodes, each sleep takes longer than it should.
+        due = began + seconds * received / LONG_ANSWER_BYTES
+        await asyncio.sleep(max(0.0, due - now))
         if not was_half and received > LONG_ANSWER_BYTES / 2:
+            began += stop
             await asyncio.sleep(stop)
 
     if node is None:
