--- a/cactusshed/serve/pool.py
+++ b/cactusshed/serve/pool.py
@@ -183,7 +183,7 @@
 
     async def _close_older(self, unresponsive: PooledConnection) -> None:
         """Close all idle connections opened no later than the one that timed out."""
-        self._counters.add("connections_condemned")
+        self._counters.add("connections_unresponsive")
         self._discard_opened_until = max(
             self._discard_opened_until, unresponsive.opened
         )
