--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -122,7 +122,7 @@
             return self._make_unknown(call, "timeout"), None
         except asyncio.CancelledError:
             if on_silent is not None and sent.report is None:
-                # Another target has answered what this one left without an answer.
+                # Another target has answered, or the caller has left.
                 self._record_answer(call, started, failed=True)
             raise
         finally:
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -35,6 +35,7 @@
 """Time without an answer to a ping after which the link is replaced: a hundred round
 trips."""
 OUTCOME_RETRY_SECONDS = 0.05
+"""Pause after a query for an outcome that could not be sent or was lost."""
 
 
 @attrs.define(eq=False)
--- a/cactusshed/policy/firsttimeouts.py
+++ b/cactusshed/policy/firsttimeouts.py
@@ -12,7 +12,7 @@
 __all__ = ["FirstTimeout"]
 
 WINDOW = 32
-"""Requests from which the timeout of first attempts is taken: seconds of usual load."""
+"""Requests from which the timeout of first attempts is taken."""
 RANK = 8
 """Rank, from the longest, of the timeout that is taken. Seven odd ones don't change it,
 and first attempts may be as few as a quarter of the requests."""
