Nodes start without the settings of features that are not in use

A node demanded all 25 fields of every settings file, and exited on two deployments without cold rates, whose files lack bounds.cold_overage and bounds.cold_slack. Configurations may leave out limits, kinds and timeouts.

A service without a cold rate held each target at one start a second after every suspected restart. Such targets are not limited any more.

Routes of kind download are idempotent, as the users define them. A kind that is not known is handled as unsafe, with one log line.

--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -163,7 +163,7 @@
         return combine_buckets(self._list_start_buckets(now), now)
 
     def _list_start_buckets(self, now: float) -> Iterator[TokenBucket]:
-        if self.cold.is_cold(now):
+        if self.cold.limits_starts(now):
             yield self.cold.bucket
         if self.notices.rate_limit.rate is not None:
             yield self.notices.rate_limit.bucket
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -6,12 +6,12 @@
 import attrs
 
 from ..clock import read_monotonic, read_wall
+from ..nodesettings import Settings
 from ..observe.counters import Counters
 from ..observe.histograms import Histograms
 from ..observe.lines import log_line
 from ..options import Address
 from ..platform import headers as header_names
-from ..platform.boot import Settings
 from ..platform.rows import RowStore
 from ..policy.bodybudget import compute_kept_answer_bytes, make_body_budgets
 from ..policy.gateretries import GateRetryBudget
@@ -60,6 +60,7 @@
         self.settings = settings
         self.start_time = int(read_wall() * 1e6)
         self.is_leaving = False
+        self._cold_bounds_reported = False
         self.counters = Counters()
         self.histograms = Histograms()
         self.planned_stop = PlannedStop()
@@ -192,8 +193,7 @@
         gate = self.gate
         service = self.records.table.services.get(self.settings.service)
         if service is not None:
-            bounds = self.settings.bounds
-            gate.cold.adjust(service.cold_rate, bounds.cold_factor, bounds.cold_slack)
+            self._adjust_cold_rate(service.cold_rate)
         evacuated = self.settings.data_centre in self.records.evacuated
         if gate.set_close_reason("evacuated", evacuated) and not evacuated:
             gate.suspect_restart(is_down=False)
@@ -201,6 +201,20 @@
             self.moves.apply_to_gate()
         self.announcements.refresh()
 
+    def _adjust_cold_rate(self, cold_rate: float) -> None:
+        """Set the rate of a cold target; without bounds, it gets no more than that."""
+        bounds = self.settings.bounds
+        missing = bounds.cold_factor is None or bounds.cold_slack is None
+        if missing and cold_rate and not self._cold_bounds_reported:
+            self._cold_bounds_reported = True
+            log_line(
+                "settings-missing",
+                fields="bounds.cold_overage, bounds.cold_slack",
+                needed_for="services with a cold rate",
+            )
+        factor = 1.0 if bounds.cold_factor is None else bounds.cold_factor
+        self.gate.cold.adjust(cold_rate, factor, bounds.cold_slack or 0.0)
+
     # Start and stop.
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/cactusshed/platform/document.py
+++ b/cactusshed/platform/document.py
@@ -15,11 +15,20 @@
     read_text,
 )
 from ..mesh.table import Limits, Route, Service, Table, WeightedService, build_table
+from ..observe.lines import log_line
 
 __all__ = ["MoveOrder", "decode_move", "decode_table"]
 
-RETRYABLE_KIND = "safe"
-"""Kind of a rule whose requests may be retried."""
+IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+"""Kinds of rules whose requests may run more than once."""
+OTHER_KINDS = frozenset({"unsafe", "upload"})
+"""Kinds of rules whose requests may run at most once; so may those of unknown kinds."""
+STRICTEST_KIND = "unsafe"
+MAX_REPORTED_KINDS = 16
+"""Unknown kinds for which a line is logged."""
+DEFAULT_TIMEOUT = "30s"
+"""Timeout of a route without one: clients' own deadlines are shorter."""
+_reported_kinds: set[str] = set()
 
 
 @attrs.frozen
@@ -38,7 +47,7 @@
         read_int(document, "version"),
         _read_routes(document),
         map(_read_service, read_list(document, "clusters")),
-        _read_limits(read_table(document, "limits")),
+        _read_limits(document.get("limits") or {}),
     )
 
 
@@ -63,14 +72,25 @@
         host=host,
         prefix=read_text(read_table(rule, "match"), "prefix"),
         weighted_services=tuple(_read_weighted_services(action)),
-        timeout=read_seconds(action, "timeout"),
+        timeout=read_seconds(action, "timeout", DEFAULT_TIMEOUT),
         max_attempts=max(1, read_int(action, "attempts", 1)),
-        idempotent=read_text(rule, "kind") == RETRYABLE_KIND,
+        idempotent=_read_kind(rule) in IDEMPOTENT_KINDS,
         soft_timeout=read_seconds(rule, "target_latency", "0s"),
         priority=read_int(rule, "priority", 0),
     )
 
 
+def _read_kind(rule: object) -> str:
+    """Return the kind of a rule; one that is not known is handled as the strictest."""
+    kind = read_text(rule, "kind", STRICTEST_KIND)
+    if kind in IDEMPOTENT_KINDS or kind in OTHER_KINDS:
+        return kind
+    if kind not in _reported_kinds and len(_reported_kinds) < MAX_REPORTED_KINDS:
+        _reported_kinds.add(kind)
+        log_line("route-kind-unknown", kind=kind[:40], handled_as=STRICTEST_KIND)
+    return STRICTEST_KIND
+
+
 def _read_weighted_services(action: dict) -> Iterator[WeightedService]:
     if "split" not in action:
         yield WeightedService(read_text(action, "service"), 1.0)
@@ -93,9 +113,10 @@
 
 
 def _read_limits(limits: dict) -> Limits:
+    defaults = Limits()
     return Limits(
-        read_int(limits, "max_header_bytes"),
-        read_int(limits, "max_body_bytes"),
-        read_seconds(limits, "header_timeout"),
-        read_seconds(limits, "idle_timeout"),
+        read_int(limits, "max_header_bytes", defaults.header_bytes),
+        read_int(limits, "max_body_bytes", defaults.body_bytes),
+        read_seconds(limits, "header_timeout", f"{defaults.header_seconds}s"),
+        read_seconds(limits, "idle_timeout", f"{defaults.idle_seconds}s"),
     )
--- a/cactusshed/policy/coldstart.py
+++ b/cactusshed/policy/coldstart.py
@@ -15,7 +15,7 @@
 """Fraction of the allowed excess over the mean rate that is used; the rest absorbs
 requests that are sent at an even rate but arrive in a burst."""
 MIN_RATE = 1.0
-"""Requests per second for a service whose settings define no rate."""
+"""Requests per second until the settings of the service are known."""
 
 
 @attrs.define
@@ -64,14 +64,19 @@
     cold_until: float = 0.0
     restart_suspected: bool = True
     is_unseen: bool = False
+    has_rate: bool = True
+    """Whether cold targets of the service need a limit; without one they are only
+    slower for a while."""
     bucket: TokenBucket = attrs.Factory(lambda: TokenBucket(MIN_RATE, 1.0))
 
     def adjust(self, rate: float, factor: float, slack: float) -> None:
         """Set the load that a cold target of the service tolerates.
 
         It tolerates `rate` requests per second on average, and in any one second
-        at most `factor` times `rate` plus `slack` requests.
+        at most `factor` times `rate` plus `slack` requests. Rate 0 stands for a service
+        whose cold targets need no limit.
         """
+        self.has_rate = rate > 0
         self.bucket.rate = max(MIN_RATE, rate * (1 + EXCESS_FRACTION * (factor - 1)))
         self.bucket.burst = max(1.0, slack)
 
@@ -91,7 +96,11 @@
         self.is_unseen = self.is_unseen or may_have_restarted
         if self.is_cold(now) or self.is_unseen:
             self.bucket.take(now)
-        return self.is_unseen and self.bucket.count(now) <= 0
+        return self.has_rate and self.is_unseen and self.bucket.count(now) <= 0
+
+    def limits_starts(self, now: float) -> bool:
+        """Return whether the bucket limits the starts at present."""
+        return self.has_rate and self.is_cold(now)
 
     def set_cold_time(self, seconds: float, now: float) -> None:
         """Record the target's report that it will be cold for `seconds` more."""
@@ -101,5 +110,5 @@
         self.cold_until = now + seconds
 
     def is_cold(self, now: float) -> bool:
-        """Return whether the target counts as cold, which limits its starts."""
+        """Return whether the target counts as cold."""
         return self.restart_suspected or now < self.cold_until
--- a/cactusshed/sidecar.py
+++ b/cactusshed/sidecar.py
@@ -15,8 +15,9 @@
 from .errors import CactusError  # noqa: E402
 from .mesh.sidecar import Sidecar  # noqa: E402
 from .mesh.supervision import keep_running  # noqa: E402
+from .nodesettings import Settings  # noqa: E402
 from .observe.lines import log_line, open_lines  # noqa: E402
-from .platform.boot import Settings, find_settings_path, load_settings  # noqa: E402
+from .platform.boot import find_settings_path, load_settings  # noqa: E402
 
 __all__ = ["main"]
 
