--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -132,6 +132,8 @@
     """For gates of earlier builds, which would end a silent call; always false."""
     reports_silence: bool = False
     """Whether the gate sends `Silence` to the first node if the target is silent."""
+    tenant: str = ""
+    """Organisation of the request; empty if there is none."""
 
 
 class Result(msgspec.Struct, array_like=True, tag=3):
