Gates learn how much their targets take; placement follows their hosts' pace

Targets that share their host say in each answer how long work takes there (X-Server-Load, fourth figure). Gates pass the figure on with their load, and first nodes weigh targets by it instead of by mean times that mix routes. Gates of such targets also compare the times of requests at each number of running ones, and lower their limit where more of them get no more done.

--- a/cactusshed/emulator/target.py
+++ b/cactusshed/emulator/target.py
@@ -8,6 +8,7 @@
 from ..clock import read_monotonic
 from ..mesh.upstream import Answer, NotSent, UpstreamFailed
 from ..platform import headers as header_names
+from ..policy.idlelimit import IdleLimit
 from .load import RequestClass, Service
 
 __all__ = ["EmulatedTarget"]
@@ -41,6 +42,9 @@
         self.warm_at = 0.0
         self.peak_cold_rate = 0
         """Most request starts within one second while the target was cold."""
+        self.idle_limit = IdleLimit()
+        self.idle_seconds = 0.0
+        """Idle time of its connection, which it never closes."""
 
     async def acquire(self, *, requires_fresh: bool) -> "EmulatedTarget":
         """Return this target as a connection; raise `NotSent` if it is down."""
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -201,6 +201,7 @@
         gate.instance = announcement.name
         gate.version = announcement.version
         gate.queue.limit = announcement.slots
+        gate.exchange.concurrency.reset()
         self.set_state(
             name=announcement.name,
             version=announcement.version,
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -85,6 +85,7 @@
         parent = self.dispatcher.gate.crash_tracker.find_parent(request_id)
         if parent is not None:
             parent.unsuccessful_calls += 1
+            parent.has_made_calls = True
         response = await self._serve(request, parent)
         if parent is not None and 200 <= response.status < 300:
             parent.unsuccessful_calls -= 1
--- a/cactusshed/mesh/candidates.py
+++ b/cactusshed/mesh/candidates.py
@@ -66,6 +66,7 @@
             now,
             load.starts_left,
             load.transfer_ms / 1000,
+            load.host_pace,
         )
         return Candidate(
             self.node,
--- a/cactusshed/mesh/crashes.py
+++ b/cactusshed/mesh/crashes.py
@@ -31,6 +31,7 @@
     """Soft deadline in monotonic seconds."""
     unsuccessful_calls: int = 0
     """Calls made by the request that have not succeeded, unfinished ones included."""
+    has_made_calls: bool = False
 
 
 @attrs.define
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -174,6 +174,7 @@
                 now,
                 load.starts_left,
                 load.transfer_ms / 1000,
+                load.host_pace,
             )
         self._update_statistics(call, view, result, now - started)
         return result
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -11,6 +11,7 @@
 from ..platform import headers as header_names
 from ..policy.admissionqueue import Ticket
 from ..policy.coldstart import ColdStartGuard
+from ..policy.concurrency import ConcurrencyLimit
 from ..policy.quarantine import Quarantine
 from ..policy.silence import SentRequest, SilenceDetector
 from .crashes import CrashTracker, RunningCall, make_fingerprint
@@ -66,6 +67,7 @@
     suspect_restart: Callable[..., None]
     """Called with `is_down` when the target may have restarted."""
     silence: SilenceDetector = attrs.Factory(SilenceDetector)
+    concurrency: ConcurrencyLimit = attrs.Factory(ConcurrencyLimit)
 
     def refuse(self, call: Call, code: str, retry_after: float = 0.0) -> Result:
         """Return the result of a call that the target did not run."""
@@ -129,7 +131,18 @@
             self.crash_tracker.end(call)
             self.silence.remove(sent, was_answered=answer is not None)
         self.pool.release(upstream)
-        return self._read_answer(running, answer, started), answer
+        result = self._read_answer(running, answer, started)
+        if is_success(result) and not running.has_made_calls:
+            # With calls of its own, its time is mostly that of other targets.
+            self._learn_limit(ticket, read_monotonic())
+        return result, answer
+
+    def _learn_limit(self, ticket: Ticket, now: float) -> None:
+        pace = self.notices.host_pace.current
+        if pace and not self.cold.is_cold(now):
+            running = (ticket.running_at_start + self.get_load().running + 1) // 2
+            seconds = (now - ticket.started) / pace
+            self.concurrency.note(ticket.route, running, seconds)
 
     def _make_report(
         self,
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -95,6 +95,9 @@
     transfer_ms: FiniteNumber = 0.0
     """Time until the link of the gate's host has sent the large answers that it is
     bound to send; 0 if there are none."""
+    host_pace: FiniteNumber = 0.0
+    """Time that work takes on the target's host now, as a multiple of the usual; 0 if
+    the target does not say."""
 
 
 class Call(msgspec.Struct, array_like=True, tag=2):
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -136,7 +136,13 @@
         if self.uplink is not None and (self.uplink.committed or self.uplink.unsent):
             transfer_ms = self.uplink.estimate_wait(read_monotonic()) * 1000
         return Load(
-            queue.running, queue.waiting, limit, mean * 1000, starts_left, transfer_ms
+            queue.running,
+            queue.waiting,
+            limit,
+            mean * 1000,
+            starts_left,
+            transfer_ms,
+            self.notices.host_pace.current,
         )
 
     async def tick(self) -> None:
@@ -146,6 +152,7 @@
             now = read_monotonic()
             for route, rate in self.backpressure.step(now):
                 log_line("backpressure", route=route, rate=rate)
+            self._apply_learned_limit(now)
             self.exchange.report_silent(
                 now, self.queue.limit, self.queue.get_service_time
             )
@@ -155,6 +162,13 @@
                 )
                 self.start_waiting()
 
+    def _apply_learned_limit(self, now: float) -> None:
+        queue = self.queue
+        limit = self.exchange.concurrency.update(queue.slots, now)
+        if limit != (queue.learned_limit or queue.slots):
+            log_line("learned-limit", limit=limit, slots=queue.slots)
+        queue.learned_limit = limit if limit < queue.slots else None
+
     def start_waiting(self) -> None:
         """Start as many waiting calls as the limits allow."""
         now = read_monotonic()
--- a/cactusshed/mesh/notices.py
+++ b/cactusshed/mesh/notices.py
@@ -7,6 +7,7 @@
 from ..clock import read_monotonic
 from ..observe.lines import log_line
 from ..platform import headers as header_names
+from ..policy.hostpace import HostPace
 from ..policy.ratelimit import NamedRateLimit
 from .upstream import Answer
 
@@ -22,11 +23,15 @@
     on_leaving: Callable[[float], None]
     """Called with the time at which the request was sent if the target is leaving."""
     rate_limit: NamedRateLimit = attrs.Factory(NamedRateLimit)
+    host_pace: HostPace = attrs.Factory(HostPace)
 
     def read(self, answer: Answer, sent_at: float) -> None:
         """Read the answer to a request that was sent at `sent_at`."""
         if answer.find(header_names.RATE_LIMIT) is None:
             self._note_rate(None, sent_at)
+        pace = header_names.read_host_pace(answer.find(header_names.LOAD))
+        if pace is not None:
+            self.host_pace.note(pace, read_monotonic())
         self.read_health(answer, sent_at)
 
     def read_health(self, answer: Answer, sent_at: float) -> None:
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -14,7 +14,7 @@
     "NOT_RUN",
     "RATE_LIMIT",
     "SEAL",
-    "read_load",
+    "read_host_pace",
     "read_milliseconds",
     "read_rate_limit",
 ]
@@ -36,7 +36,8 @@
 COLD_MS = b"x-cold-ms"
 """Milliseconds until a cold target is warm; absent if it is warm."""
 LOAD = b"x-server-load"
-"""Running requests, waiting requests and slots of a target."""
+"""Running requests, waiting requests and slots of a target, and if it shares its host
+with others, the time that work takes there now in percent of the usual."""
 RATE_LIMIT = b"server-limit"
 """Requests per second that a target takes from all hosts together; absent if it names
 no limit."""
@@ -63,10 +64,10 @@
     return int(text)
 
 
-def read_load(text: bytes | None) -> tuple[int, int, int] | None:
-    """Parse the load of a target: running, waiting, slots; `None` if malformed."""
+def read_host_pace(text: bytes | None) -> float | None:
+    """Parse the fourth figure of a target's load; `None` if absent or malformed."""
     parts = (text or b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    percent = parts[3].strip() if len(parts) > 3 else b""
+    if not percent.isdigit() or len(percent) > MAX_TIME_DIGITS:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+    return int(percent) / 100
--- a/cactusshed/policy/admissionqueue.py
+++ b/cactusshed/policy/admissionqueue.py
@@ -28,6 +28,9 @@
 """Fraction of the time to its deadline within which a request that will miss its soft
 deadline must be expected to finish, or it is refused. It is queued only while no
 queued request can meet its soft deadline."""
+LATE_LINK_FRACTION = 0.3
+"""The same for a large answer that will be late: it takes the link from those that can
+still be on time."""
 MIN_SERVICE_FRACTION = 0.5
 """Fraction of a route's mean service time that must be left to start a request."""
 MIN_RETRY_SECONDS = 0.02
@@ -77,6 +80,8 @@
     state: TicketState = TicketState.NEW
     refusal: Refusal | None = None
     started: float = 0.0
+    running_at_start: int = 0
+    """Requests that ran when this one had started, itself included."""
     _is_late: bool = False
 
 
@@ -85,7 +90,9 @@
 
     def __init__(self, slots: int) -> None:
         """Start open and empty."""
-        self.limit = slots
+        self.slots = slots
+        self.learned_limit: int | None = None
+        """Limit below the stated slots, if the target slows down earlier."""
         self.running = 0
         self.mean_seconds = 0.0
         self._service_times: dict[str, float] = {}
@@ -94,6 +101,17 @@
         self._sequence = itertools.count()
         self._close_reason = ""
 
+    @property
+    def limit(self) -> int:
+        """Return the number of requests that may run at the same time."""
+        if self.learned_limit is None:
+            return self.slots
+        return min(self.slots, self.learned_limit)
+
+    @limit.setter
+    def limit(self, slots: int) -> None:
+        self.slots = slots
+
     @property
     def waiting(self) -> int:
         """Return the number of waiting requests."""
@@ -159,12 +177,13 @@
         expected_end += ticket.transfer_seconds
         if ticket.soft_deadline > now:
             return expected_end <= ticket.soft_deadline
-        return expected_end <= now + LATE_FRACTION * (ticket.deadline - now)
+        return expected_end <= now + LATE_LINK_FRACTION * (ticket.deadline - now)
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.state = TicketState.RUNNING
         ticket.started = now
         self.running += 1
+        ticket.running_at_start = self.running
 
     def _estimate_wait(
         self, ticket: Ticket, ahead: int, route_ahead: int, limits: StartLimits
--- a/cactusshed/policy/placement.py
+++ b/cactusshed/policy/placement.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from .hostpace import HostPace
+
 __all__ = [
     "Candidate",
     "LoadView",
@@ -50,6 +52,7 @@
     """Calls that this node has sent since the last report."""
     transfer_seconds: float = 0.0
     """Time until the target's host had sent its large answers, at the last report."""
+    host_pace: HostPace = attrs.Factory(HostPace)
     starts_left: int = 0
     """Calls that the target could start under its rate limit at the last report."""
     failure_rate: float = 0.0
@@ -63,9 +66,11 @@
         now: float,
         starts_left: int = 0,
         transfer_seconds: float = 0.0,
+        host_pace: float = 0.0,
     ) -> None:
         """Store a load report that came with an answer."""
         self.transfer_seconds = transfer_seconds
+        self.host_pace.note(host_pace, now)
         self.busy = busy
         self.limit = max(1, limit)
         self.mean_seconds = mean_seconds
@@ -179,12 +184,19 @@
     options = list(candidates)
     means = [c.view.mean_seconds for c in options if c.view.mean_seconds]
     average_latency = sum(means) / len(means) if means else 1.0
+    paces = [c.view.host_pace.estimate(now) for c in options]
+    known_paces = [pace for pace in paces if pace]
+    average_pace = sum(known_paces) / len(known_paces) if known_paces else 1.0
     scored = []
-    for candidate in options:
+    for candidate, pace in zip(options, paces, strict=True):
         view = candidate.view
-        service_time = baseline_latency * (
-            view.mean_seconds / average_latency if view.mean_seconds else 1.0
-        )
+        if pace:
+            relative_time = pace / average_pace
+        elif view.mean_seconds:
+            relative_time = view.mean_seconds / average_latency
+        else:
+            relative_time = 1.0
+        service_time = baseline_latency * relative_time
         wait = view.estimate_wait(now, service_time)
         if candidate.start_rate:
             wait = max(wait, view.estimate_start_wait(now, candidate.start_rate))
