--- a/cactusshed/policy/concurrency.py
+++ b/cactusshed/policy/concurrency.py
@@ -10,12 +10,14 @@
 that reaches nearly the highest throughput.
 """
 
+from collections.abc import Iterable, Iterator
+
 import attrs
 
 __all__ = ["ConcurrencyLimit"]
 
-SMOOTHING = 0.05
-"""Weight of one answer in the mean slowdown of its level; about the last 40 count."""
+SMOOTHING = 0.02
+"""Weight of one answer in the mean slowdown of its level; about the last 100 count."""
 MIN_ANSWERS = 30
 """Answers at a level before it counts: service times of single requests differ by more
 than the slowdown that is looked for."""
@@ -74,13 +76,14 @@
         return limit
 
     def _find_limit(self, slots: int) -> int:
-        known = {
+        measured = {
             number: level.slowdown
-            for number, level in self._levels.items()
+            for number, level in sorted(self._levels.items())
             if level.answers >= MIN_ANSWERS and number <= slots
         }
-        if len(known) < 2:
+        if len(measured) < 2:
             return slots
+        known = dict(zip(measured, _fit_increasing(measured.values()), strict=True))
         highest = max(number / slowdown for number, slowdown in known.items())
         limit = min(
             number
@@ -95,3 +98,21 @@
         self._levels.clear()
         self._route_seconds.clear()
         self._limit = None
+
+
+def _fit_increasing(values: Iterable[float]) -> Iterator[float]:
+    """Yield the closest values that never decrease (isotonic regression).
+
+    More running requests never make a target faster, so a decrease is noise.
+    """
+    groups: list[tuple[float, int]] = []
+    for value in values:
+        mean, count = value, 1
+        while groups and groups[-1][0] > mean:
+            other_mean, other_count = groups.pop()
+            total = mean * count + other_mean * other_count
+            count += other_count
+            mean = total / count
+        groups.append((mean, count))
+    for mean, count in groups:
+        yield from [mean] * count
--- /dev/null
+++ b/tests/test_learned_limits.py
@@ -0,0 +1,172 @@
+"""What gates learn of their targets: pace of the host, limits, idle connections."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+
+from cactusshed.platform.headers import read_host_pace
+from cactusshed.policy.concurrency import RETRY_SECONDS, ConcurrencyLimit
+from cactusshed.policy.hostpace import HostPace
+from cactusshed.policy.idlelimit import HOLD_SECONDS, IdleLimit
+from cactusshed.policy.placement import Candidate, LoadView, order_candidates
+
+from .meshes import make_call, open_gate, run_async
+
+SLOTS = 12
+WORK_SECONDS = {"read": 0.2, "order": 0.5}
+
+
+def feed(limit, rng, slow_from, answers=4000, slots=SLOTS):
+    """Record answers of a target that gets no more done above `slow_from` requests."""
+    for _ in range(answers):
+        route = rng.choice(list(WORK_SECONDS))
+        running = rng.randint(1, slots)
+        slowdown = max(1.0, running / slow_from)
+        seconds = WORK_SECONDS[route] * slowdown * rng.lognormvariate(0.0, 0.5)
+        limit.note(route, running, seconds)
+
+
+@pytest.mark.parametrize("slow_from", [4, 6, 8])
+def test_limit_is_found_where_throughput_ends(rng, slow_from):
+    """A target that slows down at half its slots must not be filled."""
+    limit = ConcurrencyLimit()
+    feed(limit, rng, slow_from)
+    found = limit.update(SLOTS, 0.0)
+    assert_that(found, GreaterThan(0.7 * slow_from))
+    assert_that(found, LessThan(slow_from + 2))
+
+
+def test_target_that_takes_all_its_slots_keeps_them():
+    """Requests of unlike length must not look like a target that slows down."""
+    for seed in range(20):
+        limit = ConcurrencyLimit()
+        feed(limit, random.Random(seed), slow_from=SLOTS)
+        assert_that(limit.update(SLOTS, 0.0), Equals(SLOTS))
+
+
+def test_mix_that_changes_with_load_is_no_slowdown(rng):
+    """Long requests that come at high load must not lower the limit."""
+    limit = ConcurrencyLimit()
+    for _ in range(4000):
+        running = rng.randint(1, SLOTS)
+        route = "order" if rng.random() < running / SLOTS else "read"
+        seconds = WORK_SECONDS[route] * rng.lognormvariate(0.0, 0.3)
+        limit.note(route, running, seconds)
+    assert_that(limit.update(SLOTS, 0.0), Equals(SLOTS))
+
+
+def test_few_answers_change_nothing(rng):
+    """A limit must not be drawn from a handful of slow answers."""
+    limit = ConcurrencyLimit()
+    for _ in range(20):
+        limit.note("read", SLOTS, 2.0)
+        limit.note("read", 1, 0.2)
+    assert_that(limit.update(SLOTS, 0.0), Equals(SLOTS))
+
+
+def test_limit_is_tried_again_and_follows_changes(rng):
+    """A target that has become faster must get more again."""
+    limit = ConcurrencyLimit()
+    feed(limit, rng, slow_from=4)
+    low = limit.update(SLOTS, 0.0)
+    assert_that(limit.update(SLOTS, RETRY_SECONDS + 0.1), Equals(low + 1))
+    feed(limit, rng, slow_from=SLOTS)
+    assert_that(limit.update(SLOTS, 30.0), Equals(SLOTS))
+
+
+def test_another_process_starts_without_a_limit(rng):
+    """What was learned of a process must not hold for the next one."""
+    limit = ConcurrencyLimit()
+    feed(limit, rng, slow_from=4)
+    limit.update(SLOTS, 0.0)
+    limit.reset()
+    assert_that(limit.update(SLOTS, 0.0), Equals(SLOTS))
+
+
+@pytest.mark.parametrize(
+    ("text", "pace"),
+    [
+        (b"2,0,6,70", 0.7),
+        (b"2, 0, 6, 425", 4.25),
+        (b"2,0,6", None),
+        (b"2,0,6,", None),
+        (b"2,0,6,-5", None),
+        (b"2,0,6,1e3", None),
+        (b"2,0,6,99999999999999", None),
+        (b"", None),
+        (None, None),
+    ],
+)
+def test_host_pace_is_read(text, pace):
+    """A header without the fourth figure, or with an odd one, says nothing."""
+    assert_that(read_host_pace(text), Equals(pace))
+
+
+def test_host_pace_returns_to_the_usual():
+    """A figure from a slow moment must not keep a target out for long."""
+    pace = HostPace()
+    for number in range(100):
+        pace.note(0.7, number / 100)
+    pace.note(1.75, 1.0)
+    assert_that(pace.estimate(1.0), GreaterThan(1.7))
+    assert_that(pace.estimate(4.0), LessThan(0.8))
+
+
+def test_slow_host_gets_less():
+    """Of targets alike in load, the one whose host is slow now is chosen last."""
+    views = {name: LoadView() for name in ("slow", "usual")}
+    for name, pace in (("slow", 4.25), ("usual", 0.7)):
+        views[name].report(2, 6, 0.3, 0.0, host_pace=pace)
+    candidates = [Candidate(name, view, False, False) for name, view in views.items()]
+    for seed in range(20):
+        ordered = order_candidates(candidates, 0.3, 1.0, 0.1, random.Random(seed))
+        assert_that(ordered[0][1].name, Equals("usual"))
+
+
+def test_gate_uses_a_learned_limit_only_for_targets_that_state_their_pace(rng):
+    """A gate of a target that says nothing of its host admits to its slots."""
+
+    async def work():
+        async with open_gate(slots=4) as opened:
+            for number in range(5):
+                await opened.gate.run(make_call(f"r{number}"))
+            assert_that(opened.gate.exchange.concurrency._levels, Equals({}))
+            opened.gate.notices.host_pace.note(1.0, 0.0)
+            await opened.gate.run(make_call("last"))
+            assert_that(len(opened.gate.exchange.concurrency._levels), Equals(1))
+            feed(opened.gate.exchange.concurrency, rng, slow_from=2, slots=4)
+            opened.gate._apply_learned_limit(0.0)
+            assert_that(opened.gate.queue.limit, LessThan(4))
+
+    run_async(work)
+
+
+def test_resets_of_idle_connections_limit_the_idle_time():
+    """Later requests must not be sent on connections that were idle as long."""
+    limit = IdleLimit()
+    assert_that(limit.note_reset(0.5, 0.01, 10.0), Is(False))
+    assert_that(limit.get(10.0), Equals(float("inf")))
+    assert_that(limit.note_reset(0.4, 0.01, 10.5), Is(True))
+    assert_that(limit.get(10.6), Equals(0.2))
+    assert_that(limit.get(10.6 + HOLD_SECONDS), Equals(float("inf")))
+
+
+@pytest.mark.parametrize(
+    ("idle", "after"),
+    [(0.05, 0.01), (0.5, 0.3)],
+)
+def test_other_resets_do_not_limit_the_idle_time(idle, after):
+    """Resets by a full target, or after work, have nothing to do with idle time."""
+    limit = IdleLimit()
+    for number in range(5):
+        assert_that(limit.note_reset(idle, after, 10.0 + number / 10), Is(False))
+
+
+def test_answer_after_a_longer_idle_time_refutes_the_limit():
+    """A target that answers on longer idle connections does not forget them."""
+    limit = IdleLimit()
+    limit.note_success(0.9, 10.0)
+    for number in range(5):
+        assert_that(limit.note_reset(0.5, 0.01, 10.0 + number / 10), Is(False))
