Tenants: keys, X-Tenant, priorities and their propagation as digests

Requests of a configuration with tenants need a key unless their route is public; nodes exchange digests only. hashlib with OpenSSL costs 3.6 MB in a node, with the built-in BLAKE2 180 kB, so the daemon hides _hashlib.

--- a/cactusshed/fields.py
+++ b/cactusshed/fields.py
@@ -8,8 +8,10 @@
 
 __all__ = [
     "check_address",
+    "check_header_value",
     "check_text",
     "read_address",
+    "read_flag",
     "read_int",
     "read_list",
     "read_number",
@@ -56,6 +58,17 @@
     return text
 
 
+def check_header_value(field: str, value: Any) -> str:
+    """Return a text that a header can carry unchanged; raise `Malformed`.
+
+    The error does not describe the value, which may be a secret.
+    """
+    is_text = isinstance(value, str) and value.isprintable()
+    if not is_text or not value or value != value.strip():
+        raise Malformed(f"{field}: not a value of a header", step="read field")
+    return value
+
+
 def read_text(source: Any, field: str, default: str | None = None) -> str:
     """Return a printable text of 1 to `MAX_TEXT_CHARS` characters."""
     return check_text(field, _read_field(source, field, str, default))
@@ -70,6 +83,11 @@
     return value
 
 
+def read_flag(source: Any, field: str, default: bool | None = None) -> bool:
+    """Return a truth value."""
+    return _read_field(source, field, bool, default)
+
+
 def read_number(source: Any, field: str, default: float | None = None) -> float:
     """Return a number from 0 to `MAX_COUNT`."""
     value = _read_field(source, field, (int, float), default)
@@ -97,9 +115,9 @@
     return _read_field(source, field, dict, None)
 
 
-def read_list(source: Any, field: str) -> list:
-    """Return a list, empty if the field is absent."""
-    return _read_field(source, field, list, [])
+def read_list(source: Any, field: str, *, is_required: bool = False) -> list:
+    """Return a list, empty if the field is absent and not required."""
+    return _read_field(source, field, list, None if is_required else [])
 
 
 def read_address(source: Any, field: str) -> Address:
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -10,13 +10,16 @@
 
 from ..clock import read_monotonic
 from ..observe.counters import Counters
-from ..observe.histograms import CallClass, Histograms
+from ..observe.histograms import NO_TENANT, CallClass, Histograms
 from ..observe.lines import log_line
 from ..platform import headers as header_names
 from ..policy.firsttimeouts import FirstTimeout
 from ..policy.plannedstop import PlannedStop
+from ..policy.tenancy import Decision, Refusal, decide_tenancy
+from ..tenants.counts import TenantCounts
+from ..tenants.origin import TENANT_HEADERS, read_origin
 from .callplan import CallPlan, Outcome
-from .crashes import RunningCall
+from .crashes import RunningCall, get_parent_id
 from .dispatch import Dispatcher
 from .frames import ANSWERED, NOT_RUN, Call, Result
 from .messages import Request, Response, make_response
@@ -31,6 +34,9 @@
 """Time past the deadline for which a gate's own result is awaited."""
 START_RETRY_SECONDS = 0.3
 """Retry-after of a node without configuration: the time of one read of the store."""
+PARENT_GONE_RETRY_SECONDS = 0.3
+"""Retry-after of a call whose parent no longer runs here: it is refused until a client
+sends the parent again, which takes at least the time of one exchange."""
 LEAVING_RETRY_SECONDS = 0.05
 """Retry-after of a node that shuts down: other nodes can serve the retry now."""
 RETRY_JITTER = (0.9, 1.4)
@@ -45,6 +51,9 @@
         header_names.EXPECTED_INSTANCE,
     }
 )
+_REPLACED_WITH_TENANTS = _REPLACED_HEADERS | TENANT_HEADERS
+CHALLENGE = (b"www-authenticate", b"ApiKey")
+"""Names the way of authentication, which responses with 401 must do."""
 
 
 def choose_service(route: Route, point: float) -> str:
@@ -73,6 +82,7 @@
     """Calls made by requests running here are accepted also while it refuses others."""
     first_timeouts: dict[str, FirstTimeout] = attrs.Factory(dict)
     """Timeouts of clients' first attempts by route."""
+    tenant_counts: TenantCounts = attrs.Factory(TenantCounts)
 
     def is_safe(self, request: Request) -> bool:
         """Return whether a request may run at the same time as others."""
@@ -105,10 +115,13 @@
                 version=table.version,
             )
             return make_response(404)
+        decision = self._decide_tenancy(request, route, parent)
+        if decision.refusal is not None:
+            return self._refuse_tenancy(decision.refusal, request, route)
         if not request.find(header_names.ATTEMPT_ID):
             self.counters.add("refused_no_id")
             return make_response(400)
-        plan = self._make_plan(request, route, parent)
+        plan = self._make_plan(request, route, parent, decision)
         if not self.stop.accepts(plan.deadline) and not plan.call.is_nested:
             self.counters.add("refused_leaving")
             return self._refuse(LEAVING_RETRY_SECONDS)
@@ -127,8 +140,29 @@
         path = request.path.partition(b"?")[0].decode("latin-1")
         return self.records.table.find_route(host, path)
 
-    def _make_plan(
+    def _decide_tenancy(
         self, request: Request, route: Route, parent: RunningCall | None
+    ) -> Decision:
+        tenants = self.records.table.tenants
+        origin = read_origin(
+            tenants,
+            request.headers,
+            get_parent_id(request.find(header_names.ATTEMPT_ID) or b""),
+            (parent.call.tenant, parent.call.priority) if parent is not None else None,
+        )
+        return decide_tenancy(
+            origin,
+            route.priority,
+            has_tenants=tenants is not None,
+            is_public=route.is_public,
+        )
+
+    def _make_plan(
+        self,
+        request: Request,
+        route: Route,
+        parent: RunningCall | None,
+        decision: Decision,
     ) -> CallPlan:
         # The client's time has been running since it began to send, also while the body
         # arrived and while the request waited behind others of its connection.
@@ -142,12 +176,15 @@
             attempt=0,
             method=request.method,
             path=request.path,
-            headers=_filter_headers(request.headers),
+            headers=_filter_headers(
+                request.headers,
+                has_tenants=self.records.table.tenants is not None,
+            ),
             body=request.body,
             remaining_ms=0,
             soft_timeout_ms=0,
             route=route.name,
-            priority=parent.call.priority if parent is not None else route.priority,
+            priority=decision.priority,
             service=service,
             version="",
             caller=self.service,
@@ -157,6 +194,7 @@
             is_nested=parent is not None,
             parent_is_retry=parent is not None and parent.call.is_retry,
             may_wait=True,
+            tenant=decision.tenant,
         )
         if parent is not None:
             # A call has the soft deadline of the request that makes it.
@@ -197,11 +235,15 @@
         elapsed = read_monotonic() - request.started
         if result.outcome == ANSWERED:
             self.counters.add("answered")
-            call_class = CallClass(plan.call.service, route.name, "-")
+            self.tenant_counts.add(plan.call.tenant, "answered")
+            tenant = plan.call.tenant or NO_TENANT
+            call_class = CallClass(plan.call.service, route.name, tenant)
             self.histograms.record(call_class, max(0.0, elapsed))
             echoed = (header_names.ATTEMPT_ID, plan.call.request_id)
             return Response(result.status, [*result.headers, echoed], result.body)
         self.counters.add(f"failed_{result.code.replace('-', '_')}")
+        kind = "refused" if result.outcome == NOT_RUN else "failed"
+        self.tenant_counts.add(plan.call.tenant, kind)
         log_line(
             "call-failed",
             request=plan.call.request_id,
@@ -220,6 +262,25 @@
             return self._refuse(result.retry_after_ms / 1000)
         return make_response(504 if result.code == "timeout" else 502)
 
+    def _refuse_tenancy(
+        self, refusal: Refusal, request: Request, route: Route
+    ) -> Response:
+        """Refuse a request that belongs to no tenant.
+
+        The log limits the lines of each event; the counters are complete.
+        """
+        self.counters.add(f"refused_{refusal.value}")
+        log_line(
+            "tenant-unknown",
+            request=request.find(header_names.ATTEMPT_ID) or b"",
+            route=route.name,
+            cause=refusal.value,
+            version=self.records.table.version,
+        )
+        if refusal is Refusal.PARENT_GONE:
+            return self._refuse(PARENT_GONE_RETRY_SECONDS)
+        return make_response(401, headers=[CHALLENGE])
+
     def _refuse(self, retry_after: float) -> Response:
         seconds = retry_after * self.rng.uniform(*RETRY_JITTER)
         return make_response(503, headers=[(b"retry-after", f"{seconds:.3f}".encode())])
@@ -230,9 +291,9 @@
     return default if limit_ms is None else limit_ms / 1000
 
 
-def _filter_headers(headers: Headers) -> Headers:
+def _filter_headers(headers: Headers, *, has_tenants: bool) -> Headers:
     """Return the headers that are forwarded to the target."""
-    dropped = _REPLACED_HEADERS
+    dropped = _REPLACED_WITH_TENANTS if has_tenants else _REPLACED_HEADERS
     for name, value in headers:
         if name == b"connection":
             hop_by_hop = {part.strip().lower() for part in value.split(b",")}
--- a/cactusshed/mesh/change.py
+++ b/cactusshed/mesh/change.py
@@ -1,7 +1,10 @@
 """Differences between configurations, as sent between nodes."""
 
+from collections.abc import Collection
+
 import attrs
 
+from ..tenants.change import decode_tenants, encode_tenants
 from .frames import TableChange
 from .table import Limits, Route, Service, Table, WeightedService
 
@@ -19,14 +22,21 @@
     return frozenset(changed)
 
 
-def encode_change(table: Table, base: int, changed: set | None) -> TableChange:
+def encode_change(
+    table: Table,
+    base: int,
+    changed: Collection | None,
+    tenants: Collection[str] | None = None,
+) -> TableChange:
     """Return the difference of `table` to the configuration version `base`.
 
     `changed` holds host and prefix of each changed route; for `None` the result
-    holds the complete configuration.
+    holds the complete configuration. `tenants` holds the names of changed tenants;
+    for `None` the result holds all tenants.
     """
     if changed is None:
         base = 0
+        tenants = None
         changed = {(h, p) for h, routes in table.routes.items() for p in routes}
     present = [
         table.routes[host][prefix]
@@ -36,13 +46,20 @@
     return TableChange(
         base=base,
         version=table.version,
-        routes=[attrs.astuple(route) for route in present],
-        removed=sorted(changed - {(route.host, route.prefix) for route in present}),
+        routes=[_encode_route(route) for route in present],
+        removed=sorted(set(changed) - {(r.host, r.prefix) for r in present}),
         services=[attrs.astuple(service) for service in table.services.values()],
         limits=attrs.astuple(table.limits),
+        tenants=encode_tenants(table.tenants, tenants),
     )
 
 
+def _encode_route(route: Route) -> tuple:
+    """Return the fields of a route; earlier builds do not know the last one."""
+    fields = attrs.astuple(route)
+    return fields if route.is_public else fields[:-1]
+
+
 def decode_change(change: TableChange, before: Table) -> Table:
     """Return the configuration that results from applying `change` to `before`.
 
@@ -68,4 +85,5 @@
         routes,
         {service.name: service for service in services},
         Limits(*change.limits),
+        decode_tenants(change.tenants, before.tenants),
     )
--- a/cactusshed/mesh/crashes.py
+++ b/cactusshed/mesh/crashes.py
@@ -8,7 +8,7 @@
 from ..policy.quarantine import Quarantine
 from .frames import Call, Strike
 
-__all__ = ["RunningCall", "CrashTracker", "make_fingerprint"]
+__all__ = ["RunningCall", "CrashTracker", "get_parent_id", "make_fingerprint"]
 
 CRASH_WINDOW_SECONDS = 1.0
 """Time within which all requests in flight at a crash lose their connections."""
@@ -22,6 +22,11 @@
     return xxhash.xxh3_128_digest(content)
 
 
+def get_parent_id(request_id: bytes) -> bytes:
+    """Return the id that `request_id` extends; empty if it extends none."""
+    return request_id.rpartition(b".")[0]
+
+
 @attrs.define(eq=False)
 class RunningCall:
     """A request in flight at the target, and its soft deadline."""
@@ -42,13 +47,15 @@
     """
 
     quarantine: Quarantine
-    _in_flight: dict[bytes, RunningCall] = attrs.Factory(dict)
+    _in_flight: dict[bytes, list[RunningCall]] = attrs.Factory(dict)
+    """Requests by id; several attempts of one may overlap at this target."""
     _failed: list[tuple[float, Call, bool]] = attrs.Factory(list)
     """Time of each lost connection, its call, and whether no other was in flight."""
 
     def begin(self, call: Call, soft_deadline: float, now: float) -> RunningCall:
         """Record that a request is sent to the target."""
-        running = self._in_flight[call.request_id] = RunningCall(call, soft_deadline)
+        running = RunningCall(call, soft_deadline)
+        self._in_flight.setdefault(call.request_id, []).append(running)
         self._failed = [
             entry for entry in self._failed if now - entry[0] <= CRASH_WINDOW_SECONDS
         ]
@@ -56,7 +63,10 @@
 
     def end(self, call: Call) -> None:
         """Record that a request is no longer in flight."""
-        self._in_flight.pop(call.request_id, None)
+        attempts = self._in_flight.pop(call.request_id, [])
+        others = [running for running in attempts if running.call is not call]
+        if others:
+            self._in_flight[call.request_id] = others
 
     def find_parent(self, request_id: bytes) -> RunningCall | None:
         """Return the running request that made the call `request_id`, if any.
@@ -64,8 +74,8 @@
         A target extends the id of the request that it runs by a dot and a suffix. An
         id that extends no running request is that of a client's request.
         """
-        parent, dot, _ = request_id.rpartition(b".")
-        return self._in_flight.get(parent) if dot else None
+        attempts = self._in_flight.get(get_parent_id(request_id))
+        return attempts[-1] if attempts else None
 
     def fail(self, call: Call, now: float) -> None:
         """Record that the connection of a request was lost before its answer."""
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..decoding import Count, FiniteNumber
+from ..tenants.change import TenantsChange
 
 __all__ = [
     "ANSWERED",
@@ -211,6 +212,8 @@
     """The difference of a configuration to version `base`, or all of it for base 0.
 
     Routes, services and limits are tuples of the fields of the classes in `table`.
+    `tenants` is false for a configuration without tenants, and `None` from earlier
+    builds, which do not know them.
     """
 
     base: int
@@ -220,6 +223,7 @@
     """Hosts and prefixes of removed routes."""
     services: list[tuple]
     limits: tuple
+    tenants: TenantsChange | bool | None = None
 
 
 class RecordsUpdate(msgspec.Struct, array_like=True, tag=14):
--- a/cactusshed/mesh/probes.py
+++ b/cactusshed/mesh/probes.py
@@ -37,7 +37,12 @@
         if request.path != METRICS_PATH:
             return make_response(404)
         node = self.sidecar
-        page = render_page(node.counters, node.histograms, self.list_gauges())
+        page = render_page(
+            node.counters,
+            node.histograms,
+            self.list_gauges(),
+            node.tenant_counts.list_all(),
+        )
         return Response(200, [(b"content-type", b"text/plain")], page.encode())
 
     def list_gauges(self) -> list[tuple[str, float]]:
--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -20,6 +20,7 @@
     OPERATOR_TABLE,
 )
 from ..platform.rows import StoredRow
+from ..tenants.change import find_changed_tenants
 from .change import decode_change, encode_change, find_changed_routes
 from .frames import RecordsUpdate
 from .table import EMPTY_TABLE, Table
@@ -60,9 +61,10 @@
     orders: dict[str, StoredOrder] = attrs.Factory(dict)
     rows: dict[str, StoredRow] = attrs.Factory(dict)
     _refused_versions: dict[str, int] = attrs.Factory(dict)
-    _history: deque[tuple[int, frozenset]] = attrs.Factory(
+    _history: deque[tuple[int, frozenset, frozenset]] = attrs.Factory(
         lambda: deque(maxlen=HISTORY_LENGTH)
     )
+    """Earlier versions, with the routes and tenants that the next version changed."""
 
     def apply_changes(self, rows: Iterable[StoredRow], revision: int) -> None:
         """Apply the rows that changed up to `revision`."""
@@ -129,15 +131,17 @@
         if table.version <= self.table.version:
             return
         keys = find_changed_routes(self.table, table)
+        tenants = find_changed_tenants(self.table.tenants, table.tenants)
         log_line(
             "configuration-applied",
             version=table.version,
             before=self.table.version,
             routes=sum(map(len, table.routes.values())),
             changed=len(keys),
+            tenants_changed=len(tenants),
         )
         self.counters.add("configurations_applied")
-        self._history.append((self.table.version, keys))
+        self._history.append((self.table.version, keys, tenants))
         self.table = table
 
     def _apply_evacuation(self, row: StoredRow) -> None:
@@ -159,20 +163,22 @@
         ]
         change = None
         if base < self.table.version:
-            change = encode_change(self.table, base, self._find_changes_since(base))
+            change = encode_change(self.table, base, *self._find_changes_since(base))
         return RecordsUpdate(self.revision, self.last_change, rows, change)
 
-    def _find_changes_since(self, base: int) -> set | None:
-        """Return hosts and prefixes of the routes that changed since `base`.
+    def _find_changes_since(self, base: int) -> tuple[set | None, set | None]:
+        """Return the routes, by host and prefix, and tenants that changed since `base`.
 
-        Returns `None` if the history does not reach back to `base`.
+        Returns `None` for both if the history does not reach back to `base`.
         """
-        changed: set = set()
-        for version, keys in reversed(self._history):
-            changed |= keys
+        routes: set = set()
+        tenants: set = set()
+        for version, changed_routes, changed_tenants in reversed(self._history):
+            routes |= changed_routes
+            tenants |= changed_tenants
             if version == base:
-                return changed
-        return None
+                return routes, tenants
+        return None, None
 
     def apply_update(self, update: RecordsUpdate) -> bool:
         """Apply an update from another node; return whether this node is up to date.
@@ -182,6 +188,11 @@
         """
         change = update.change
         if change is not None and change.version > self.table.version:
+            if change.tenants is None and self.table.tenants is not None:
+                # An earlier build has dropped the tenants. Applying its update would
+                # serve requests without a key; a later update or the store has them.
+                self.counters.add("updates_without_tenants")
+                return True
             if change.base not in (0, self.table.version):
                 return False
             try:
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -17,6 +17,7 @@
 from ..policy.gateretries import GateRetryBudget
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
+from ..tenants.counts import TenantCounts
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
 from .callers import CallerHandler
@@ -63,6 +64,7 @@
         self._cold_bounds_reported = False
         self.counters = Counters()
         self.histograms = Histograms()
+        self.tenant_counts = TenantCounts()
         self.planned_stop = PlannedStop()
         self.quarantine = Quarantine()
         self.crash_tracker = CrashTracker(self.quarantine)
@@ -280,6 +282,7 @@
             settings.service,
             self.moves,
             stop=self.planned_stop,
+            tenant_counts=self.tenant_counts,
         )
         links = await serve_links(
             settings.peers,
--- a/cactusshed/mesh/table.py
+++ b/cactusshed/mesh/table.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..tenants.directory import Tenants
+
 __all__ = [
     "EMPTY_TABLE",
     "Limits",
@@ -39,6 +41,8 @@
     idempotent: bool
     soft_timeout: float
     priority: int
+    is_public: bool = False
+    """Whether requests are served without the key of a tenant."""
 
 
 @attrs.frozen
@@ -72,6 +76,8 @@
     """Routes by host, then by prefix."""
     services: dict[str, Service]
     limits: Limits
+    tenants: Tenants | None = None
+    """`None` if the configuration has none: requests then need no key."""
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`, if any."""
@@ -92,10 +98,14 @@
 
 
 def build_table(
-    version: int, routes: Iterable[Route], services: Iterable[Service], limits: Limits
+    version: int,
+    routes: Iterable[Route],
+    services: Iterable[Service],
+    limits: Limits,
+    tenants: Tenants | None = None,
 ) -> Table:
     """Build the table of one configuration version."""
     by_host: dict[str, dict[str, Route]] = {}
     for route in routes:
         by_host.setdefault(route.host, {})[route.prefix] = route
-    return Table(version, by_host, {s.name: s for s in services}, limits)
+    return Table(version, by_host, {s.name: s for s in services}, limits, tenants)
--- a/cactusshed/mesh/targetclient.py
+++ b/cactusshed/mesh/targetclient.py
@@ -6,6 +6,7 @@
 from ..clock import read_monotonic
 from ..errors import CactusError
 from ..platform import headers as header_names
+from ..tenants.origin import TENANT_HEADERS
 from .frames import Call
 from .pool import ConnectionPool
 from .upstream import HOP_BY_HOP_HEADERS, Answer, Headers, NotSent, Upstream
@@ -78,11 +79,17 @@
 def _encode_request(call: Call, remaining_ms: int, instance: str) -> bytes:
     """Return the bytes of a request to the target."""
     lines = [call.method + b" " + call.path + b" HTTP/1.1"]
-    lines.extend(name + b": " + value for name, value in call.headers)
+    headers = call.headers
+    if call.tenant:
+        # A first node whose configuration has no tenants yet passes on what it got.
+        headers = [pair for pair in headers if pair[0] not in TENANT_HEADERS]
+    lines.extend(name + b": " + value for name, value in headers)
     lines.append(header_names.ATTEMPT_ID + b": " + call.request_id)
     lines.append(header_names.DEADLINE_MS + b": %d" % remaining_ms)
     lines.append(header_names.EXPECTED_INSTANCE + b": " + instance.encode())
     lines.append(header_names.CALLER + b": " + call.caller.encode())
+    if call.tenant:
+        lines.append(header_names.TENANT + b": " + call.tenant.encode())
     if call.body or call.method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(call.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
--- a/cactusshed/observe/histograms.py
+++ b/cactusshed/observe/histograms.py
@@ -5,7 +5,7 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["CallClass", "Histograms", "PERCENTILES"]
+__all__ = ["NO_TENANT", "PERCENTILES", "CallClass", "Histograms"]
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
@@ -13,9 +13,12 @@
 MAX_CLASSES = 64
 """Limit on classes with separate histograms, which bounds memory.
 
-Calls of further classes are recorded by service, with route and tenant `other`;
-above twice the limit, all go to service `other`.
+Calls of further classes are recorded with tenant `other` if they have a tenant, so that
+many tenants do not hide the routes. Above one and a half times the limit, and without a
+tenant, they are recorded by service, with route and tenant `other`; above twice the
+limit, all go to service `other`.
 """
+NO_TENANT = "-"
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 OTHER_CLASS = "other"
 
@@ -42,9 +45,17 @@
         histogram.record_value(min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6))))
 
     def _create(self, call_class: CallClass) -> HdrHistogram:
-        if len(self._by_class) >= MAX_CLASSES:
-            call_class = CallClass(call_class.service, OTHER_CLASS, OTHER_CLASS)
-            if len(self._by_class) >= 2 * MAX_CLASSES:
+        count = len(self._by_class)
+        if count >= MAX_CLASSES:
+            if call_class.tenant != NO_TENANT:
+                by_route = attrs.evolve(call_class, tenant=OTHER_CLASS)
+                if by_route in self._by_class:
+                    return self._by_class[by_route]
+            if call_class.tenant != NO_TENANT and count < MAX_CLASSES * 3 // 2:
+                call_class = by_route
+            elif count < 2 * MAX_CLASSES:
+                call_class = CallClass(call_class.service, OTHER_CLASS, OTHER_CLASS)
+            else:
                 call_class = CallClass(OTHER_CLASS, OTHER_CLASS, OTHER_CLASS)
         return self._by_class.setdefault(
             call_class, HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
--- a/cactusshed/observe/page.py
+++ b/cactusshed/observe/page.py
@@ -11,11 +11,18 @@
 
 
 def render_page(
-    counters: Counters, histograms: Histograms, gauges: Iterable[tuple[str, float]]
+    counters: Counters,
+    histograms: Histograms,
+    gauges: Iterable[tuple[str, float]],
+    tenant_counts: Iterable[tuple[str, str, int]] = (),
 ) -> str:
-    """Return the metrics page with all counters, gauges and call times."""
+    """Return the metrics page with all counters, gauges and call times.
+
+    `tenant_counts` holds tenant, outcome and count of requests.
+    """
     lines = [
         *_render_counters(counters),
+        *_render_tenant_counts(tenant_counts),
         *_render_gauges(gauges),
         *_render_histograms(histograms),
     ]
@@ -28,6 +35,14 @@
         yield f"cactusshed_{name}_total {count}"
 
 
+def _render_tenant_counts(counts: Iterable[tuple[str, str, int]]) -> Iterator[str]:
+    for index, (tenant, outcome, count) in enumerate(counts):
+        if not index:
+            yield "# TYPE cactusshed_tenant_requests_total counter"
+        labels = f'tenant="{tenant.translate(_ESCAPES)}",outcome="{outcome}"'
+        yield f"cactusshed_tenant_requests_total{{{labels}}} {count}"
+
+
 def _render_gauges(gauges: Iterable[tuple[str, float]]) -> Iterator[str]:
     for name, value in gauges:
         yield f"# TYPE cactusshed_{name} gauge"
--- a/cactusshed/platform/document.py
+++ b/cactusshed/platform/document.py
@@ -7,6 +7,8 @@
 from ..decoding import decode_json
 from ..errors import Malformed
 from ..fields import (
+    check_header_value,
+    read_flag,
     read_int,
     read_list,
     read_number,
@@ -16,6 +18,7 @@
 )
 from ..mesh.table import Limits, Route, Service, Table, WeightedService, build_table
 from ..observe.lines import log_line
+from ..tenants.directory import Tenant, Tenants, build_tenants, digest_key
 
 __all__ = ["MoveOrder", "decode_move", "decode_table"]
 
@@ -48,6 +51,7 @@
         _read_routes(document),
         map(_read_service, read_list(document, "clusters")),
         _read_limits(document.get("limits") or {}),
+        _read_tenants(document) if "tenants" in document else None,
     )
 
 
@@ -77,6 +81,7 @@
         idempotent=_read_kind(rule) in IDEMPOTENT_KINDS,
         soft_timeout=read_seconds(rule, "target_latency", "0s"),
         priority=read_int(rule, "priority", 0),
+        is_public=read_flag(rule, "public", False),
     )
 
 
@@ -112,6 +117,21 @@
     )
 
 
+def _read_tenants(document: dict) -> Tenants:
+    try:
+        return build_tenants(map(_read_tenant, read_list(document, "tenants")))
+    except (Malformed, ValueError) as error:
+        raise Malformed(f"tenants: {error.args[0]}", step="read document") from None
+
+
+def _read_tenant(entry: object) -> Tenant:
+    name = check_header_value("name", read_text(entry, "name"))
+    keys = read_list(entry, "api_keys", is_required=True)
+    texts = (check_header_value("api_keys", key) for key in keys)
+    digests = frozenset(digest_key(text.encode()) for text in texts)
+    return Tenant(name, read_int(entry, "priority"), digests)
+
+
 def _read_limits(limits: dict) -> Limits:
     defaults = Limits()
     return Limits(
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -6,6 +6,7 @@
     "ATTEMPT_ID",
     "CALLER",
     "COLD_MS",
+    "CREDENTIAL",
     "DEADLINE_MS",
     "EXPECTED_INSTANCE",
     "INSTANCE",
@@ -14,6 +15,7 @@
     "NOT_RUN",
     "RATE_LIMIT",
     "SEAL",
+    "TENANT",
     "read_load",
     "read_milliseconds",
     "read_rate_limit",
@@ -37,6 +39,10 @@
 """Milliseconds until a cold target is warm; absent if it is warm."""
 LOAD = b"x-server-load"
 """Running requests, waiting requests and slots of a target."""
+CREDENTIAL = b"x-credential"
+"""Key of the client's organisation."""
+TENANT = b"x-tenant"
+"""Name of the organisation for which a target runs a request."""
 RATE_LIMIT = b"server-limit"
 """Requests per second that a target takes from all hosts together; absent if it names
 no limit."""
--- a/cactusshed/sidecar.py
+++ b/cactusshed/sidecar.py
@@ -8,6 +8,8 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # This daemon uses no TLS; hiding `ssl` saves the 4 MB that OpenSSL takes in memory.
 sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
+# `hashlib` would load OpenSSL for digests that the standard library has by itself.
+sys.modules.setdefault("_hashlib", None)  # type: ignore[arg-type]
 
 import asyncio  # noqa: E402
 import os  # noqa: E402
--- /dev/null
+++ b/cactusshed/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations (tenants) whose requests are told apart by a key."""
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -10,7 +10,7 @@
 PACKAGE = Path(__file__).parent.parent / "cactusshed"
 WIRE = re.compile(
     r"x-attempt-id|x-deadline-ms|x-response-seal|x-expect-instance|x-server-load"
-    r"|x-not-executed|x-caller-service|x-instance-id|x-cold-ms"
+    r"|x-not-executed|x-credential|x-tenant|api_keys|x-caller-service|x-instance-id|x-cold-ms"
     r"|server-limit|server-leaving|rows-tx|rows-get|rows-feed|blob-put|instances\.(heartbeat|leave)"
     r"|cactusshed_boot|app_addr|heartbeat_addr|cold_left|rolled_back|max_header_bytes",
     re.IGNORECASE,
