--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -169,6 +169,7 @@
         now = request.started
         timeout = min(_read_timeout(request, route.timeout), route.timeout)
         service = choose_service(route, self.rng.random())
+        has_tenants = self.records.table.tenants is not None
         request_id = request.find(header_names.ATTEMPT_ID)
         call = Call(
             number=0,
@@ -176,10 +177,7 @@
             attempt=0,
             method=request.method,
             path=request.path,
-            headers=_filter_headers(
-                request.headers,
-                has_tenants=self.records.table.tenants is not None,
-            ),
+            headers=_filter_headers(request.headers, has_tenants=has_tenants),
             body=request.body,
             remaining_ms=0,
             soft_timeout_ms=0,
