--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -524,6 +524,18 @@
     assert_that(sum(h.total_count for h in found.values()), Equals(3000))
 
 
+def test_class_of_other_tenants_stays_in_use_above_the_limits():
+    """A route's calls must not move to another histogram while the node runs."""
+    histograms = Histograms()
+    for number in range(2 * MAX_CLASSES):
+        histograms.record(CallClass("s", f"r{number}", f"t{number}"), 0.1)
+    route = f"r{MAX_CLASSES}"
+    before = dict(histograms.list_all())[CallClass("s", route, "other")].total_count
+    histograms.record(CallClass("s", route, "new"), 0.1)
+    after = dict(histograms.list_all())[CallClass("s", route, "other")].total_count
+    assert_that(after - before, Equals(1))
+
+
 def test_counters_of_many_tenants_are_bounded():
     """Beyond the bound, tenants are counted together as `other`."""
     counts = TenantCounts()
--- a/tests/test_tenants_mesh.py
+++ b/tests/test_tenants_mesh.py
@@ -13,6 +13,7 @@
 from cactusshed.clock import read_monotonic
 from cactusshed.mesh import bodyparts, link
 from cactusshed.mesh.framing import encode_frame
+from cactusshed.mesh.messages import Request
 from cactusshed.mesh.probes import ProbeHandler
 from cactusshed.observe.lines import BURST, LINES_PER_SECOND, get_log
 from cactusshed.observe.page import render_page
@@ -25,7 +26,7 @@
     wait_for,
 )
 
-from .meshes import run_async
+from .meshes import make_call, open_gate, run_async
 from .tenantdocuments import KEYS, make_tenant_document
 
 ACME, BOLT = KEYS["acme"], KEYS["bolt"]
@@ -168,6 +169,27 @@
     assert_that(page, Not(Contains("tenant_requests")))
 
 
+def test_first_node_without_tenants_yet_states_no_tenant_of_its_own():
+    """While the first version with tenants spreads, a call may hold a client's headers.
+
+    The gate's node must send the tenant that the call inherited, and nothing else.
+    """
+
+    async def work():
+        async with open_gate() as opened:
+            headers = [
+                (b"host", b"h"),
+                (b"x-tenant", b"forged"),
+                (b"x-credential", b"k"),
+            ]
+            await opened.gate.run(make_call(headers=headers, tenant="acme"))
+            return opened.target.requests[0][1]
+
+    found = run_async(work)
+    assert_that(found[b"x-tenant"], Equals(b"acme"))
+    assert_that(b"x-credential" in found, Equals(False))
+
+
 def test_node_without_configuration_answers_503():
     """It knows neither keys nor routes, so 401 and 404 would be false."""
 
@@ -431,13 +453,9 @@
                 data = render_request(b"GET", "/read/x", {"x-credential": key})
                 await client.exchange(data.replace(b"host:", b"ho st:"))
                 await first.request("/none/x", x_credential=key)
+            request = Request(b"GET", b"/metrics", [], b"", 0.0, 0.0)
             pages = [
-                render_page(
-                    n.sidecar.counters,
-                    n.sidecar.histograms,
-                    ProbeHandler(n.sidecar).list_gauges(),
-                    n.sidecar.tenant_counts.list_all(),
-                )
+                (await ProbeHandler(n.sidecar).serve_metrics(request)).body.decode()
                 for n in (first, node)
             ]
             rows = [value for value, _ in fleet.store.rows.values()]
