--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -18,6 +18,7 @@
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
 from ..policy.uplink import make_uplink
+from ..tenants.counts import TenantCounts
 from ..uplink.scheduler import UplinkScheduler
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
@@ -65,6 +66,7 @@
         self._cold_bounds_reported = False
         self.counters = Counters()
         self.histograms = Histograms()
+        self.tenant_counts = TenantCounts()
         self.planned_stop = PlannedStop()
         self.quarantine = Quarantine()
         self.crash_tracker = CrashTracker(self.quarantine)
@@ -286,6 +288,7 @@
             settings.service,
             self.moves,
             stop=self.planned_stop,
+            tenant_counts=self.tenant_counts,
         )
         links = await serve_links(
             settings.peers,
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -6,6 +6,7 @@
     "ATTEMPT_ID",
     "CALLER",
     "COLD_MS",
+    "CREDENTIAL",
     "DEADLINE_MS",
     "EXPECTED_INSTANCE",
     "INSTANCE",
@@ -14,6 +15,7 @@
     "NOT_RUN",
     "RATE_LIMIT",
     "SEAL",
+    "TENANT",
     "read_host_pace",
     "read_milliseconds",
     "read_rate_limit",
@@ -38,6 +40,10 @@
 LOAD = b"x-server-load"
 """Running requests, waiting requests and slots of a target, and if it shares its host
 with others, the time that work takes there now in percent of the usual."""
+CREDENTIAL = b"x-credential"
+"""Key of the client's organisation."""
+TENANT = b"x-tenant"
+"""Name of the organisation for which a target runs a request."""
 RATE_LIMIT = b"server-limit"
 """Requests per second that a target takes from all hosts together; absent if it names
 no limit."""
