A connection with an unread request is not closed as idle

A stopping node reset connections whose requests it had received but not read, so the callers lost their answers. Once the drain closes idle connections, a delay of the process of 0.1 s (MIN_IDLE_SECONDS) between the acceptance of a connection and the read of its request made the connection look idle to the next check, which may run before the read. This is what test_leaving_node_serves_accepted_requests_and_then_refuses saw beside load.

Before it closes a connection, the node asks the kernel for unread bytes (FIONREAD). Input of a connection that is already being shut down is dropped as before.

Measured: the new test failed before in both cases (connection reset), and passes.

--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -10,7 +10,7 @@
 from ..parseturns import PacedReader
 from ..policy.bodybudget import RETRY_SECONDS
 from ..requestparser import RequestParser, has_unknown_coding
-from ..sockets import count_unsent_bytes
+from ..sockets import count_unread_bytes, count_unsent_bytes
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
 from .requestmeter import RequestMeter, TooManyBytes
@@ -277,8 +277,12 @@
             self._refuse(408)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being served."""
-        if not self.is_busy:
+        """Close the connection unless a request is being served or can be read.
+
+        After a delay of the process, a request may wait to be read.
+        """
+        is_unread = not self._is_discarding and count_unread_bytes(self._transport)
+        if not self.is_busy and not is_unread:
             self._transport.close()
 
     @property
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -6,7 +6,7 @@
 import sys
 import termios
 
-__all__ = ["count_unsent_bytes", "enable_keepalive"]
+__all__ = ["count_unread_bytes", "count_unsent_bytes", "enable_keepalive"]
 
 KEEPALIVE_IDLE_SECONDS = 1
 """Idle time before the kernel's first TCP keepalive probe."""
@@ -22,15 +22,24 @@
 
     Where the kernel does not count its part, only that of the transport is included.
     """
-    buffered = transport.get_write_buffer_size()
+    return transport.get_write_buffer_size() + _query(transport, termios.TIOCOUTQ)
+
+
+def count_unread_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the kernel has received and `transport` has not read."""
+    return _query(transport, termios.FIONREAD)
+
+
+def _query(transport: asyncio.Transport, request: int) -> int:
+    """Return the kernel's answer to an ioctl request; 0 if there is none."""
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
-        return buffered
+        return 0
     try:
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+        answer = fcntl.ioctl(sock.fileno(), request, bytes(_INT_BYTES))
     except OSError:
-        return buffered
-    return buffered + int.from_bytes(queued, sys.byteorder)
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
 
 
 def enable_keepalive(
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -1,6 +1,7 @@
 """Requests that reach a stopping node just before its end are refused, not dropped."""
 
 import asyncio
+import select
 import socket
 import time
 
@@ -10,14 +11,18 @@
 from testtools.matchers import Equals, StartsWith
 
 from cactusshed.clock import read_monotonic
+from cactusshed.mesh.listener import Listener
+from cactusshed.mesh.messages import make_response
 from cactusshed.mesh.shutdown import (
     LAST_ANSWERS_SECONDS,
     QUIET_POLLS,
     UNREADY_NOTICE_SECONDS,
     drain,
 )
+from cactusshed.mesh.table import Limits
 from cactusshed.policy.plannedstop import PlannedStop, ReaderProgress
 from standins.meshfleet import MeshFleet, make_document, render_request, wait_for
+from standins.ports import choose_port
 
 from .meshes import run_async
 
@@ -65,6 +70,46 @@
     assert_that(run_async(work), StartsWith(b"HTTP/1.1 "))
 
 
+def close_with_listener(listener, connection):
+    """Close `connection` as a node that stops does."""
+    listener.close_idle()
+
+
+def close_alone(listener, connection):
+    """Close `connection` as its idle timeout does."""
+    connection.close_if_idle()
+
+
+@pytest.mark.parametrize("close", [close_with_listener, close_alone])
+def test_connection_with_an_unread_request_is_not_idle(close):
+    """A stopping node that was held up reset connections with unread requests.
+
+    It took the connections for idle, since it had not read from them for 0.1 s.
+    """
+
+    async def serve(_request):
+        return make_response(200)
+
+    async def work():
+        listener = Listener(serve, Limits, lambda status: None)
+        port = choose_port()
+        await listener.open("127.0.0.1", port)
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            await wait_for(lambda: listener.connections)
+            (connection,) = listener.connections
+            client.sendall(render_request(b"GET", "/read/x", {}))
+            # The request arrives without a turn of the event loop, as in a pause.
+            select.select([connection._transport.get_extra_info("socket")], [], [])
+            close(listener, connection)
+            client.setblocking(False)
+            answer = await loop.sock_recv(client, 1000)
+        listener.stop()
+        return answer
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
+
+
 @attrs.define
 class LateListener:
     """A listener that gets one request right after check number `late_check`."""
