The product's listeners serve unread requests when they end

A node that stops closed each connection without a running request, also one whose request had arrived and was not read because the process had been held up. The caller's connection was reset; another node took the stopping one for dead, and reads without a retry left ended as unknown (502).

A connection with unread bytes (FIONREAD) is now kept for its next request, which is answered with `connection: close`.

Measured: the new test failed before (connection reset) and passes; tests/test_shutdown.py and tests/test_listener.py, 13 passed; the three tests of stops in tests/test_failures.py passed.

--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -16,7 +16,7 @@
 from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, get_framing_limit
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
-from ..sockets import count_unsent_bytes
+from ..sockets import count_unread_bytes, count_unsent_bytes
 from .asgi import MAX_DISCARDED_BYTES
 
 __all__ = ["Listener", "open_socket"]
@@ -57,6 +57,7 @@
         self._chunk_count = 0
         self._discarded = 0
         self._trailer_bytes = 0
+        self._is_ending = False
         self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
 
     def _make_parser(self) -> httptools.HttpRequestParser:
@@ -71,6 +72,17 @@
         self._reader.transport = transport
         self.flow = _Flow(self._reader)
 
+    def shutdown(self) -> None:
+        """Close the connection once its requests are served.
+
+        After a delay of the process, the first one may wait to be read.
+        """
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and count_unread_bytes(self.transport):
+            self._is_ending = True
+        else:
+            super().shutdown()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Drop what is not parsed."""
         self._reader.stop()
@@ -137,6 +149,8 @@
         if has_unknown_coding(self.headers):
             raise ValueError("transfer coding is not supported")
         super().on_headers_complete()
+        if self._is_ending:
+            self.cycle.keep_alive = False
 
     def on_message_complete(self) -> None:
         """End the request, unless it is parsed again."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,13 +1,14 @@
 """Planned stops: overlapping ones cut off no call, and answers are read to the end."""
 
 import asyncio
+import select
 import socket
 import time
 from contextlib import asynccontextmanager
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan, StartsWith
 
 from cactusshed.clock import read_monotonic
 from cactusshed.drain import STOP_SECONDS as STOP_LISTENERS_SECONDS
@@ -253,6 +254,42 @@
     assert_that(seconds, LessThan(10.0 if reads else longest))
 
 
+def test_request_that_is_unread_when_the_product_listener_ends_is_answered():
+    """A node that was held up reset connections whose requests it had not read.
+
+    Other nodes took it for dead, and reads without a retry left ended as unknown.
+    """
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        loop = asyncio.get_running_loop()
+        connections = listener._server.server_state.connections
+        with socket.create_connection((address.ip, address.port)) as client:
+            await wait_for(lambda: connections)
+            (connection,) = connections
+            client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            # The request arrives without a turn of the event loop, as in a pause.
+            select.select([connection.transport.get_extra_info("socket")], [], [])
+            connection.shutdown()
+            client.setblocking(False)
+            answer = b""
+            while part := await loop.sock_recv(client, 1000):
+                answer += part
+        listener.stop()
+        await running
+        return answer
+
+    answer = run_async(work)
+    assert_that(answer, StartsWith(b"HTTP/1.1 200 "))
+    assert_that(answer, Contains(b"connection: close"))
+
+
 def test_calls_that_arrived_while_the_node_was_held_up_are_awaited():
     """The product's node closed its listeners before it had read them.
 
