--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,25 +1,28 @@
 """Planned stops: overlapping ones cut off no call, and answers are read to the end."""
 
 import asyncio
+import select
 import socket
 import time
 from contextlib import asynccontextmanager
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan, StartsWith
 
+from cactusshed.clock import read_monotonic
 from cactusshed.drain import STOP_SECONDS as STOP_LISTENERS_SECONDS
 from cactusshed.drain import stop_listeners, wait_idle
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address
-from cactusshed.policy.plannedstop import REMOTE_SECONDS, STALL_SECONDS, ReaderProgress
+from cactusshed.policy.plannedstop import STALL_SECONDS, ReaderProgress
 from cactusshed.serve.listener import Listener
 from cactusshed.settings import parse_settings
 from standins.meshfleet import MeshFleet, make_document, render_request, wait_for
 from standins.ports import choose_port
 
 from .meshes import run_async
+from .steadyclock import run_steadily
 from .test_settings import GOOD
 
 ROUTES = {
@@ -70,8 +73,8 @@
     async def work():
         async with open_stopping_fleet() as (fleet, first, leaving):
             leaving.stop.set()
-            accepts_until = time.monotonic() + REMOTE_SECONDS
             await asyncio.sleep(0.1)
+            accepts_until = leaving.sidecar.planned_stop.remote_until
             await first.kill()
             first = await fleet.restart(first)
             await wait_for(first.is_reachable_and_ready)
@@ -79,15 +82,18 @@
             late_runs = []
 
             def note_runs():
-                if time.monotonic() > accepts_until:
+                if read_monotonic() > accepts_until:
                     late_runs.append(leaving.target.runs.total())
 
             statuses = await send_until_ended(first, leaving, note_runs)
-            return statuses, late_runs
+            refused = leaving.sidecar.counters.get("gate_refused_node_leaving")
+            return statuses, late_runs, refused
 
-    statuses, late_runs = run_async(work)
+    statuses, late_runs, refused = run_steadily(work)
     assert_that(len(statuses), GreaterThan(20))
     assert_that((set(statuses), len(set(late_runs))), Equals(({200}, 1)))
+    # A node that has not learned of the stop is refused, and its callers don't see it.
+    assert_that(refused, Equals(0))
 
 
 def test_stopping_node_refuses_the_calls_that_it_could_not_finish():
@@ -248,6 +254,42 @@
     assert_that(seconds, LessThan(10.0 if reads else longest))
 
 
+def test_request_that_is_unread_when_the_product_listener_ends_is_answered():
+    """A node that was held up reset connections whose requests it had not read.
+
+    Other nodes took it for dead, and reads without a retry left ended as unknown.
+    """
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        loop = asyncio.get_running_loop()
+        connections = listener._server.server_state.connections
+        with socket.create_connection((address.ip, address.port)) as client:
+            await wait_for(lambda: connections)
+            (connection,) = connections
+            client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            # The request arrives without a turn of the event loop, as in a pause.
+            select.select([connection.transport.get_extra_info("socket")], [], [])
+            connection.shutdown()
+            client.setblocking(False)
+            answer = b""
+            while part := await loop.sock_recv(client, 1000):
+                answer += part
+        listener.stop()
+        await running
+        return answer
+
+    answer = run_async(work)
+    assert_that(answer, StartsWith(b"HTTP/1.1 200 "))
+    assert_that(answer, Contains(b"connection: close"))
+
+
 def test_calls_that_arrived_while_the_node_was_held_up_are_awaited():
     """The product's node closed its listeners before it had read them.
 
