A target that resets several requests in a row is closed until it is checked

Four lost answers in a row close the gate now until a health check is answered. Services with a cold rate are not affected.

--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -39,6 +39,9 @@
 """Code of a call that another target is tried for, while its answer is awaited."""
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 """Statuses by which callers are promised that their request has not run."""
+MAX_LOST_ANSWERS = 4
+"""Lost answers in a row after which a target is taken for down until it is checked, if
+no cold rate holds its starts back meanwhile."""
 MIN_FAILURE_STATUS = 500
 """Lowest status of an answer that counts as a failure."""
 TIMEOUT_STATUS = 504
@@ -68,6 +71,8 @@
     """Called with `is_down` when the target may have restarted."""
     silence: SilenceDetector = attrs.Factory(SilenceDetector)
     concurrency: ConcurrencyLimit = attrs.Factory(ConcurrencyLimit)
+    _lost_answers: int = 0
+    """Answers lost since the last one that came."""
 
     def refuse(self, call: Call, code: str, retry_after: float = 0.0) -> Result:
         """Return the result of a call that the target did not run."""
@@ -178,7 +183,9 @@
         )
         self._record_answer(call, started, failed=True)
         self.crash_tracker.fail(call, read_monotonic())
-        self.suspect_restart(is_down=False)
+        self._lost_answers += 1
+        is_down = self._lost_answers >= MAX_LOST_ANSWERS and not self.cold.has_rate
+        self.suspect_restart(is_down=is_down)
         return self._make_unknown(call, "answer-missing")
 
     def _make_unknown(self, call: Call, code: str) -> Result:
@@ -190,6 +197,7 @@
     ) -> Result:
         """Return the result of a complete answer of the target."""
         call = running.call
+        self._lost_answers = 0
         if answer.status == 421:
             log_line(
                 "other-instance", wanted=self.get_instance(), request=call.request_id
--- a/tests/test_learned_limits.py
+++ b/tests/test_learned_limits.py
@@ -170,3 +170,31 @@
     limit.note_success(0.9, 10.0)
     for number in range(5):
         assert_that(limit.note_reset(0.5, 0.01, 10.0 + number / 10), Is(False))
+
+
+def run_lost_answers(rate):
+    """Return refusals and runs of calls to a target that resets every request."""
+
+    async def work():
+        async with open_gate(slots=4, script={"/a/": "reset"}) as opened:
+            opened.gate.cold.adjust(rate, 1.0, 1000.0)
+            results = [
+                await opened.gate.run(make_call(f"r{number}")) for number in range(10)
+            ]
+            codes = [result.code for result in results]
+            return codes, opened.target.runs.total(), len(opened.restarts)
+
+    return run_async(work)
+
+
+def test_target_that_resets_every_request_is_closed_until_it_is_checked():
+    """A target that goes down and up by turns must not get requests while down."""
+    codes, runs, restarts = run_lost_answers(rate=0.0)
+    assert_that(codes, Equals(["answer-missing"] * 4 + ["target-down"] * 6))
+    assert_that((runs, restarts), Equals((4, 4)))
+
+
+def test_target_with_a_cold_rate_is_not_closed_for_lost_answers():
+    """The cold rate of its service holds its starts back already."""
+    codes, runs, _ = run_lost_answers(rate=1000.0)
+    assert_that((codes, runs), Equals((["answer-missing"] * 10, 10)))
