--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -1,6 +1,5 @@
 """Client of the platform's row store: reads, change feed, conditional writes."""
 
-import asyncio
 import base64
 from collections.abc import Iterable
 from urllib.parse import quote
@@ -17,16 +16,15 @@
     PlatformUnavailable,
 )
 from ..fields import read_int, read_list
-from ..mesh.answermeter import MAX_ANSWER_BYTES
-from ..mesh.pool import ConnectionPool
-from ..mesh.upstream import Answer, NotSent, UpstreamFailed
+from ..mesh.upstream import Answer
 from ..observe.counters import Counters
 from ..options import Address
-from ..policy.bodybudget import BodyBudget
+from ..store.httpcalls import HttpCalls
 from .storedrows import StoredRow, find_last_key, read_rows
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
 
+PATH = "/cactusshed/"
 ABSENT = 0
 """Expected version of a row that must not exist."""
 CALL_TIMEOUT_SECONDS = 1.2
@@ -70,8 +68,7 @@
         self, address: Address, counters: Counters, timeout: float | None = None
     ) -> None:
         """Use the store at `address`, allowing `timeout` seconds per call."""
-        self._budget = BodyBudget(MAX_ANSWER_BYTES)
-        self._pool = ConnectionPool(address, b"", self._budget)
+        self._calls = HttpCalls("store", address, counters)
         self._counters = counters
         self._timeout = CALL_TIMEOUT_SECONDS if timeout is None else timeout
 
@@ -159,7 +156,7 @@
         }
         self._counters.add("store_writes")
         data = msgspec.json.encode(body)
-        answer = await self._call(b"POST", "rows-tx", data, self._timeout)
+        answer = await self._calls.call(b"POST", PATH + "rows-tx", data, self._timeout)
         if answer.status == 412:
             raise ConditionFailed("a row is at another version", step="write rows")
         fields = _decode(answer, "write rows")
@@ -168,29 +165,29 @@
     async def put_object(self, name: str, data: bytes) -> None:
         """Store `data` as object `name`; raise `AnswerLost` if unconfirmed."""
         self._counters.add("store_writes")
-        target = f"blob-put/{quote(name, safe='')}"
-        answer = await self._call(b"PUT", target, data, self._timeout)
+        target = f"{PATH}blob-put/{quote(name, safe='')}"
+        answer = await self._calls.call(b"PUT", target, data, self._timeout)
         if answer.status not in (200, 201, 204):
-            raise self._make_error(PlatformUnavailable, f"status {answer.status}")
+            raise self._calls.make_error(PlatformUnavailable, f"status {answer.status}")
 
     async def get_object(self, name: str) -> bytes | None:
         """Return the object `name`, or `None` if it does not exist."""
         self._counters.add("store_reads")
-        target = f"blob-get/{quote(name, safe='')}"
+        target = f"{PATH}blob-get/{quote(name, safe='')}"
         try:
-            answer = await self._call(b"GET", target, b"", self._timeout)
+            answer = await self._calls.call(b"GET", target, b"", self._timeout)
         except AnswerLost as error:
             raise PlatformUnavailable(error.message, step=error.step) from error
         if answer.status == 404:
             return None
         if answer.status != 200:
-            raise self._make_error(PlatformUnavailable, f"status {answer.status}")
+            raise self._calls.make_error(PlatformUnavailable, f"status {answer.status}")
         return answer.body
 
     async def _read(self, target: str, timeout: float):
         self._counters.add("store_reads")
         try:
-            answer = await self._call(b"GET", target, b"", timeout)
+            answer = await self._calls.call(b"GET", PATH + target, b"", timeout)
         except AnswerLost as error:
             raise PlatformUnavailable(error.message, step=error.step) from error
         if answer.status == 410:
@@ -201,56 +198,13 @@
         last_key = find_last_key(entries) if fields.get("has_more") else ""
         return rows, last_key, read_int(fields, "ver")
 
-    async def _call(
-        self, method: bytes, target: str, body: bytes, timeout: float
-    ) -> Answer:
-        peer = str(self._pool.address)
-        head = b"%s /cactusshed/%s HTTP/1.1\r\nhost: %s\r\n" % (
-            method,
-            target.encode(),
-            peer.encode(),
-        )
-        if method != b"GET":
-            head += b"content-type: application/json\r\n"
-            head += b"content-length: %d\r\n" % len(body)
-        try:
-            async with asyncio.timeout(timeout):
-                return await self._exchange(head + b"\r\n" + body, peer)
-        except NotSent as error:
-            raise self._make_error(PlatformUnavailable, error.message) from error
-        except UpstreamFailed as error:
-            raise self._make_error(AnswerLost, error.message) from error
-        except TimeoutError as error:
-            raise self._make_error(
-                AnswerLost, f"no response within {timeout} s"
-            ) from error
-
-    async def _exchange(self, data: bytes, peer: str) -> Answer:
-        while True:
-            upstream = await self._pool.acquire(requires_fresh=True)
-            try:
-                answer = await upstream.exchange(data)
-            except NotSent:
-                # The pooled connection was already closed; the next may be new.
-                continue
-            self._pool.release(upstream)
-            if answer.status in (429, 503):
-                raise self._make_error(PlatformUnavailable, f"status {answer.status}")
-            return answer
-
-    def _make_error(self, error_type: type[CactusError], cause: str) -> CactusError:
-        self._counters.add("store_failures")
-        return error_type(cause, step="call store", peer=str(self._pool.address))
-
     def set_address(self, address: Address) -> None:
         """Use the store at another address from now on."""
-        if address != self._pool.address:
-            self._pool.close()
-            self._pool = ConnectionPool(address, b"", self._budget)
+        self._calls.set_address(address)
 
     def close(self) -> None:
         """Close the connections."""
-        self._pool.close()
+        self._calls.close()
 
 
 def _encode_key(table: str, key: str) -> dict[str, str]:
