--- a/cactusshed/clock.py
+++ b/cactusshed/clock.py
@@ -1,9 +1,9 @@
-"""Clocks: monotonic time for intervals, wall time for records."""
+"""Clocks: monotonic time for intervals, boot time for leases, wall time for records."""
 
 import time
 from collections.abc import Callable
 
-__all__ = ["read_monotonic", "read_wall", "set_monotonic"]
+__all__ = ["read_boottime", "read_monotonic", "read_wall", "set_monotonic"]
 
 _read = time.monotonic
 
@@ -13,6 +13,11 @@
     return _read()
 
 
+def read_boottime() -> float:
+    """Return seconds since the host started, including those it was suspended for."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def set_monotonic(read: Callable[[], float]) -> Callable[[], float]:
     """Replace the monotonic clock, as emulations do; return the previous one."""
     global _read
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -21,6 +22,9 @@
 from .targetclient import exchange_call, filter_headers
 from .upstream import Answer, NotSent, Upstream, UpstreamFailed
 
+if TYPE_CHECKING:
+    from ..usage.counting import UsageCounter
+
 __all__ = [
     "MIN_FAILURE_STATUS",
     "TARGET_SILENT",
@@ -40,6 +44,8 @@
 """Statuses by which callers are promised that their request has not run."""
 MIN_FAILURE_STATUS = 500
 """Lowest status of an answer that counts as a failure."""
+OTHER_INSTANCE_STATUS = 421
+"""Status of a target that a request was not addressed to, and that did not run it."""
 TIMEOUT_STATUS = 504
 """Status by which a target answers that the deadline has passed."""
 
@@ -49,6 +55,12 @@
     return result.outcome == ANSWERED and result.status < MIN_FAILURE_STATUS
 
 
+def denies_run(answer: Answer) -> bool:
+    """Return whether the target states that it did not run the request."""
+    is_other = answer.status == OTHER_INSTANCE_STATUS
+    return is_other or answer.find(header_names.NOT_RUN) is not None
+
+
 @attrs.define(eq=False)
 class TargetExchange:
     """Sends calls to the local target and turns its answers into results."""
@@ -66,6 +78,8 @@
     suspect_restart: Callable[..., None]
     """Called with `is_down` when the target may have restarted."""
     silence: SilenceDetector = attrs.Factory(SilenceDetector)
+    usage: "UsageCounter | None" = None
+    """Counts the calls of organisations; `None` without usage reports."""
 
     def refuse(self, call: Call, code: str, retry_after: float = 0.0) -> Result:
         """Return the result of a call that the target did not run."""
@@ -105,12 +119,16 @@
         report = on_silent and self._make_report(call, deadline, started, on_silent)
         sent = SentRequest(call.route, started, deadline, report)
         self.silence.add(sent)
+        is_counted = self.usage is not None and call.tenant != ""
+        counted_at = self.usage.start(call.tenant) if is_counted else 0.0
+        was_refused = False
         try:
             async with asyncio.timeout(limit):
                 upstream, answer = await exchange_call(
                     self.pool, call, deadline, instance
                 )
         except NotSent as error:
+            was_refused = True
             self.counters.add("target_unreachable")
             log_line("target-unreachable", cause=error.message, instance=instance)
             self.suspect_restart(is_down=True)
@@ -128,6 +146,9 @@
         finally:
             self.crash_tracker.end(call)
             self.silence.remove(sent, was_answered=answer is not None)
+            was_refused = was_refused or (answer is not None and denies_run(answer))
+            if is_counted and was_refused:
+                self.usage.undo(call.tenant, counted_at)
         self.pool.release(upstream)
         return self._read_answer(running, answer, started), answer
 
@@ -177,7 +198,7 @@
     ) -> Result:
         """Return the result of a complete answer of the target."""
         call = running.call
-        if answer.status == 421:
+        if answer.status == OTHER_INSTANCE_STATUS:
             log_line(
                 "other-instance", wanted=self.get_instance(), request=call.request_id
             )
@@ -189,8 +210,8 @@
             result = self.refuse(call, "target-refused")
             result.reached_target = True
             return result
-        denies_run = answer.status in NOT_RUN_STATUSES
-        failed = denies_run or answer.status >= MIN_FAILURE_STATUS
+        promises_no_run = answer.status in NOT_RUN_STATUSES
+        failed = promises_no_run or answer.status >= MIN_FAILURE_STATUS
         # A failed call of the target or its deadline may be the cause of the failure.
         is_error = (
             failed
@@ -198,7 +219,7 @@
             and not running.unsuccessful_calls
         )
         self._record_answer(call, started, failed=failed, is_error=is_error)
-        if denies_run:
+        if promises_no_run:
             # The target ran the request, so its status would be a false promise.
             self.counters.add("answers_denying_run")
             log_line("status-withheld", request=call.request_id, status=answer.status)
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -26,6 +27,9 @@
     Result,
     Silence,
     Strike,
+    UsageHolder,
+    UsageReceipt,
+    UsageTotals,
     VersionTallies,
 )
 from .gate import Gate
@@ -33,6 +37,9 @@
 from .moves import Moves
 from .relay import Relay
 
+if TYPE_CHECKING:
+    from ..usage.reporter import UsageReporter
+
 __all__ = ["Inbound"]
 
 
@@ -51,6 +58,8 @@
     stop: PlannedStop
     moves: Moves | None = None
     relay: Relay | None = None
+    usage: "UsageReporter | None" = None
+    """`None` if the deployment has no usage reports."""
     _calls: dict[tuple[int, int], tuple[Call, asyncio.Task]] = attrs.Factory(dict)
 
     @property
@@ -85,6 +94,9 @@
             self.moves.record_report(frame)
         elif isinstance(frame, MoveUpdate):
             self.moves.handle_update(frame)
+        elif isinstance(frame, UsageHolder | UsageTotals | UsageReceipt):
+            if self.usage is not None:
+                self.usage.handle(link.send, frame)
         else:
             self.handle_other(link, frame)
 
--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -12,7 +12,13 @@
 from .listener import Listener
 from .storesync import StoreSync
 
-__all__ = ["STOP_MARGIN_SECONDS", "await_readers", "drain", "remove_row"]
+__all__ = [
+    "EXIT_SECONDS",
+    "STOP_MARGIN_SECONDS",
+    "await_readers",
+    "drain",
+    "remove_row",
+]
 
 STOP_MARGIN_SECONDS = 1.3
 """Time before SIGKILL that is reserved for the last answers and one call to the
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -17,6 +17,7 @@
 from ..policy.gateretries import GateRetryBudget
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
+from ..usage.reporter import UsageReporter, open_reporter
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
 from .callers import CallerHandler
@@ -38,7 +39,13 @@
 from .probes import ProbeHandler
 from .records import Records
 from .relay import Relay
-from .shutdown import STOP_MARGIN_SECONDS, await_readers, drain, remove_row
+from .shutdown import (
+    EXIT_SECONDS,
+    STOP_MARGIN_SECONDS,
+    await_readers,
+    drain,
+    remove_row,
+)
 from .storesync import StoreSync
 from .supervision import Task, keep_running
 from .table import EMPTY_TABLE
@@ -128,6 +135,7 @@
         self.moves: Moves | None = None
         self.move_controller: MoveController | None = None
         self.relay: Relay | None = None
+        self.usage: UsageReporter | None = None
 
     # Callbacks between the parts.
 
@@ -251,13 +259,13 @@
             settings.node, settings.service, self.gate, self.peers, self.moves
         )
         self.move_controller = MoveController(
-            settings.node,
-            self.store,
-            self.records,
-            self.peers,
-            self.moves,
-            evidence,
+            settings.node, self.store, self.records, self.peers, self.moves, evidence
         )
+        if settings.usage is not None:
+            self.usage = self.inbound.usage = open_reporter(
+                settings, self.start_time, self.store, self.peers, self.counters
+            )
+            self.gate.exchange.usage = self.usage.counter
         candidates = Candidates(
             settings.node,
             settings.data_centre,
@@ -266,12 +274,7 @@
             self.gate,
             lambda data_centre: data_centre in self.records.evacuated,
         )
-        dispatcher = Dispatcher(
-            candidates,
-            self.peers,
-            self.gate,
-            self.counters,
-        )
+        dispatcher = Dispatcher(candidates, self.peers, self.gate, self.counters)
         caller_handler = CallerHandler(
             self.records,
             dispatcher,
@@ -304,6 +307,8 @@
             links.close()
             self.peers.close()
             self.store.close()
+            if self.usage is not None:
+                self.usage.close()
         log_line("stopped", version=self.records.table.version)
 
     def _list_tasks(self, listeners: list[Listener]) -> list[Task]:
@@ -318,6 +323,7 @@
             self.peers.pending.sweep,
             self.relay.run,
             *(listener.sweep for listener in listeners),
+            *(self.usage.list_tasks() if self.usage is not None else ()),
         ]
 
     def reload(self, settings: Settings) -> None:
@@ -374,8 +380,12 @@
         self.is_leaving = True
         log_line("leaving", running=self.gate.queue.running)
         self._broadcast_state()
+        if self.usage is not None:
+            self.usage.prepare_stop()
         readers = ReaderProgress((listener.list_unsent, self.peers.list_unsent))
         await drain(listener, self.inbound, self.planned_stop, readers)
+        if self.usage is not None:
+            await self.usage.finish(killed_at - EXIT_SECONDS - read_monotonic())
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
         await await_readers(readers, killed_at)
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -14,7 +14,7 @@
 from ..parseturns import PacedReader
 from ..policy.bodybudget import BodyBudget
 from ..requestparser import has_unknown_coding
-from ..sockets import enable_keepalive
+from ..sockets import discard_unsent, enable_keepalive
 from .answermeter import MAX_ANSWER_BYTES, AnswerMeter, TooManyBytes
 
 __all__ = [
@@ -276,6 +276,10 @@
         """Return whether another request can be sent."""
         return not (self.is_closed or self._must_close or self._transport.is_closing())
 
+    def discard_unsent(self, after_seconds: float) -> None:
+        """Send nothing once closed, nor if unacknowledged for `after_seconds`."""
+        discard_unsent(self._transport, after_seconds)
+
     def abort(self) -> None:
         """Close the connection immediately."""
         self.is_closed = True
--- /dev/null
+++ b/cactusshed/policy/truetime.py
@@ -0,0 +1,65 @@
+"""Estimate of the true time on hosts whose wall clocks may be wrong or jump."""
+
+import statistics
+from collections import deque
+
+import attrs
+
+__all__ = ["TrueTime", "choose_fleet_time"]
+
+SAMPLE_COUNT = 61
+"""Samples of the wall clock, of which the median counts: a jump that is taken back
+within half of them has no effect. At one sample in two seconds that is a minute."""
+MIN_CORRECTION_SECONDS = 0.2
+"""Difference from the fleet's time below which the own clock is kept. The fleet's time
+is late by the latency of two messages, and a shift of 0.2 s moves 4 % of a window of
+5 s."""
+SETTLE_SECONDS = 8.0
+"""Time without any word from the fleet after which the own clock is used: the time in
+which a fleet that starts at once finds a holder of the duty, and two seconds."""
+
+
+@attrs.define
+class TrueTime:
+    """Maps `CLOCK_BOOTTIME` to true time by an offset that jumps don't move.
+
+    Load pattern: organisations' calls around the ends of windows, on hosts whose wall
+    clock jumps by seconds and back, is wrong when the node starts, or stands still
+    while the host is suspended.
+    """
+
+    started_at: float
+    _samples: deque[float] = attrs.Factory(lambda: deque(maxlen=SAMPLE_COUNT))
+    _fleet_offset: float | None = None
+
+    def add_sample(self, wall: float, now: float) -> None:
+        """Record the wall clock at boot time `now`."""
+        self._samples.append(wall - now)
+
+    def get_own_time(self, now: float) -> float:
+        """Return the time by this host's clock, which is the node's vote."""
+        return now + statistics.median(self._samples)
+
+    def note_fleet_time(self, fleet_time: float, now: float) -> None:
+        """Use the time that most nodes agree on if the own clock is far from it."""
+        self._fleet_offset = fleet_time - now
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether the own clock has been compared, or can't be."""
+        return self._fleet_offset is not None or now - self.started_at > SETTLE_SECONDS
+
+    def get_offset(self) -> float:
+        """Return the difference of true time and boot time."""
+        own = statistics.median(self._samples)
+        fleet = self._fleet_offset
+        if fleet is None or abs(fleet - own) <= MIN_CORRECTION_SECONDS:
+            return own
+        return fleet
+
+
+def choose_fleet_time(votes: list[float]) -> float:
+    """Return the time that most nodes agree on, from all nodes' times at one moment.
+
+    The median is right while fewer than half of the clocks are wrong.
+    """
+    return statistics.median_low(votes)
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -3,10 +3,11 @@
 import asyncio
 import fcntl
 import socket
+import struct
 import sys
 import termios
 
-__all__ = ["count_unsent_bytes", "enable_keepalive"]
+__all__ = ["count_unsent_bytes", "discard_unsent", "enable_keepalive"]
 
 KEEPALIVE_IDLE_SECONDS = 1
 """Idle time before the kernel's first TCP keepalive probe."""
@@ -45,3 +46,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def discard_unsent(transport: asyncio.Transport, after_seconds: float) -> None:
+    """Make the kernel drop what it holds when the connection is closed, or is cut.
+
+    By default the kernel goes on sending the data of a closed connection, and delivers
+    it when a cut ends, perhaps long after the sender has lost the right to send it.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    milliseconds = max(1, int(after_seconds * 1000))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
--- a/cactusshed/store/httpcalls.py
+++ b/cactusshed/store/httpcalls.py
@@ -23,8 +23,18 @@
     `name` is part of the counter of failures and of the errors.
     """
 
-    def __init__(self, name: str, address: Address, counters: Counters) -> None:
-        """Use the service at `address`, without connecting yet."""
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        counters: Counters,
+        busy_statuses: tuple[int, ...] = BUSY_STATUSES,
+    ) -> None:
+        """Use the service at `address`, without connecting yet.
+
+        An answer with one of `busy_statuses` raises an error.
+        """
+        self._busy_statuses = busy_statuses
         self._name = name
         self._budget = BodyBudget(MAX_ANSWER_BYTES)
         self._pool = ConnectionPool(address, b"", self._budget)
@@ -85,7 +95,7 @@
                 # The pooled connection was already closed; the next may be new.
                 continue
             self._pool.release(upstream)
-            if answer.status in BUSY_STATUSES:
+            if answer.status in self._busy_statuses:
                 raise self.make_error(PlatformUnavailable, f"status {answer.status}")
             return answer
 
