--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -159,13 +159,9 @@
 
     def _broadcast_state(self) -> None:
         if self.peers is not None:
-            self.peers.broadcast(
-                StateUpdate(
-                    self.announcements.state,
-                    self.is_leaving,
-                    self.planned_stop.get_remote_ms(read_monotonic()),
-                )
-            )
+            state, is_leaving = self.announcements.state, self.is_leaving
+            accepts_ms = self.planned_stop.get_remote_ms(read_monotonic())
+            self.peers.broadcast(StateUpdate(state, is_leaving, accepts_ms))
 
     async def _persist_state(self) -> None:
         """Write the target's state to the store, retrying until it is written.
--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -44,10 +44,10 @@
 
     @property
     def unreachable(self) -> float:
-        """Return the time after which a holder that the platform's API does not answer
-        leaves the duty to another node, which may reach it.
+        """Return the time for which a holder may get no answer from the platform's API.
 
-        Together with the takeover, a report is then still sent 8 s after its window.
+        Then it leaves the duty to another node, which may reach the API. Together with
+        the takeover, a report is then still sent 8 s after its window.
         """
         return self.lease * 0.8
 
--- a/cactusshed/policy/usagewindows.py
+++ b/cactusshed/policy/usagewindows.py
@@ -1,4 +1,4 @@
-"""Collection of the nodes' counts, and the decision when a window's counts are final."""
+"""Collection of the nodes' counts, and when the counts of a window are final."""
 
 from collections.abc import Iterable
 
@@ -104,10 +104,10 @@
     nodes: Iterable[str],
     held_for: float,
 ) -> dict[int, dict[str, int]]:
-    """Return the counts of the windows from `first` that can be fixed at true time `now`.
+    """Return the counts of the windows from `first` that can be fixed.
 
-    `held` is the number of fixed windows that are not acknowledged yet, `held_for` the
-    time for which this node has had the duty.
+    `now` is true time, `held` the number of fixed windows that are not acknowledged
+    yet, `held_for` the time for which this node has had the duty.
     """
     nodes = list(nodes)
     final: dict[int, dict[str, int]] = {}
--- a/cactusshed/usage/counting.py
+++ b/cactusshed/usage/counting.py
@@ -1,4 +1,4 @@
-"""Counts of the calls that the local target began to run, by organisation and window."""
+"""Counts of the calls sent to the local target, by organisation and window."""
 
 from collections.abc import Callable
 
--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -1,9 +1,8 @@
-"""The duty to report usage: its lease, the windows fixed in its row, and the reports.
+"""The duty to report usage: its lease, and the windows fixed in its row.
 
 The row is both the lease and the record of the counts. The holder renews it by
 conditional writes, each of which also fixes the counts of the windows that are final
-and removes those that the platform has acknowledged. Only counts that a confirmed write
-has fixed are sent.
+and removes those that the platform has acknowledged.
 """
 
 import asyncio
@@ -11,7 +10,7 @@
 
 import attrs
 
-from ..errors import AnswerLost, CactusError, ConditionFailed, LeaseLost
+from ..errors import AnswerLost, CactusError, ConditionFailed
 from ..mesh.frames import UsageHolder
 from ..mesh.member import Member
 from ..nodesettings import UsageSettings
@@ -30,25 +29,17 @@
 from ..store.lease import Lease
 from .dutyrow import DUTY_KEY, DutyRow, read_duty, write_duty
 
-__all__ = ["SendReport", "UsageDuty"]
-
-SendReport = Callable[..., Awaitable[int]]
-"""Sends a report: holder, token, window, counts, time limit, and a function that is
-called immediately before the request is sent. Returns the HTTP status."""
+__all__ = ["UsageDuty"]
 
 STEP_SECONDS = 0.1
 """Interval at which the holder looks for work: a fiftieth of a window."""
 RETRY_SECONDS = 0.5
-"""Pause after a failed call to the store, and after a refused report."""
-SEND_PAUSE_SECONDS = 0.05
-"""Pause between reports: at most 20 a second, of the 50 that the platform accepts."""
-MAX_SEND_SECONDS = 2.0
-"""Longest time for a report; less if the lease ends earlier."""
+"""Pause after a failed call to the store."""
 
 
 @attrs.define(eq=False)
 class UsageDuty:
-    """Takes, keeps and exercises the duty on one node.
+    """Takes and keeps the duty on one node.
 
     `list_members` returns the other nodes, `broadcast` sends a frame to them all.
     `get_fleet_time` returns the true time most nodes agree on at a boot time, or `None`
@@ -59,7 +50,6 @@
     start_time: int
     settings: UsageSettings
     store: RowStore
-    send_report: SendReport
     list_members: Callable[[], Iterable[Member]]
     broadcast: Callable[[UsageHolder], object]
     clock: TrueTime
@@ -73,7 +63,10 @@
     lease: Lease | None = None
     row: DutyRow | None = None
     """The row as of `lease.row_version`."""
-    _acknowledged: set[int] = attrs.Factory(set)
+    acknowledged: set[int] = attrs.Factory(set)
+    """Windows in the row that the platform has acknowledged."""
+    unreachable_since: float | None = None
+    """When the first of several reports without any answer was sent."""
     _pending: tuple[DutyRow, float] | None = None
     """The last row whose write may take effect, and when the write started."""
     _writes: int = 0
@@ -84,8 +77,6 @@
     _written_at: float = float("-inf")
     """Start of the last attempt to write the row."""
     _retry_at: float = float("-inf")
-    _unreachable_since: float | None = None
-    """When the first of several reports without any answer was sent."""
 
     def __attrs_post_init__(self) -> None:
         """Start watching the row."""
@@ -130,7 +121,7 @@
         up, known = self._count_nodes()
         if not self._is_weak and is_minority(up, known):
             return "cut off from most nodes"
-        since = self._unreachable_since
+        since = self.unreachable_since
         if since is not None and now - since > self.watch.times.unreachable and up > 1:
             return "platform unreachable"
         return ""
@@ -174,13 +165,13 @@
                 return
         row = row or DutyRow(self.node, self.start_time, 0)
         self._is_weak = is_weak
-        self._acknowledged.clear()
-        self._unreachable_since = None
+        self.acknowledged.clear()
+        self.unreachable_since = None
         await self._write(row.first, row.fixed, row.token + 1, version)
 
     async def _renew(self, now: float) -> None:
         row = self.row
-        fixed = {w: c for w, c in row.fixed.items() if w not in self._acknowledged}
+        fixed = {w: c for w, c in row.fixed.items() if w not in self.acknowledged}
         final = self._find_final(row, len(fixed), now)
         first = max(final) + 1 if final else row.first
         await self._write(first, {**fixed, **final}, row.token, self.lease.row_version)
@@ -251,14 +242,14 @@
             self._adopt(row, version, None)
 
     def _adopt(self, row: DutyRow, version: int, started: float | None) -> None:
-        """Hold the lease of a row that this node wrote by a write begun at `started`."""
+        """Hold the lease of a row of this node, whose write began at `started`."""
         before = self.lease
         valid_until = before.valid_until if before is not None else float("-inf")
         if started is not None:
             valid_until = max(valid_until, started + self.watch.times.act)
         self.lease = Lease(DUTY_KEY, self.node, row.token, version, valid_until)
         self.row = row
-        self._acknowledged &= row.fixed.keys()
+        self.acknowledged &= row.fixed.keys()
         now = self.read_boottime()
         self.watch.note(self.node, row.token, version, now)
         self.totals.drop_before(row.first)
@@ -289,61 +280,3 @@
             log_line("duty-lost", cause=cause, token=self.lease.epoch)
         self.lease = self.row = None
         self._must_read = False
-
-    # The reports.
-
-    async def send_reports(self) -> None:
-        """Send the fixed windows, oldest first, while the lease is held."""
-        while True:
-            await self.sleep(STEP_SECONDS)
-            row = self.row
-            if row is None:
-                continue
-            for window in sorted(row.fixed.keys() - self._acknowledged):
-                if not await self._send(row, window):
-                    await self.sleep(RETRY_SECONDS)
-                    break
-                await self.sleep(SEND_PAUSE_SECONDS)
-
-    async def _send(self, row: DutyRow, window: int) -> bool:
-        """Send one report; return whether the platform acknowledged it."""
-        started = self.read_boottime()
-        lease = self.lease
-        if lease is None or lease.epoch != row.token:
-            return False
-        remaining = lease.valid_until - started
-        if remaining < self.watch.times.min_send:
-            return False
-        ends_at = lease.valid_until
-
-        def check_lease() -> None:
-            if self.lease is None or self.lease.epoch != row.token:
-                raise LeaseLost("the duty was lost", step="send report")
-            if self.read_boottime() >= ends_at:
-                raise LeaseLost("the lease has expired", step="send report")
-
-        try:
-            status = await self.send_report(
-                self.node,
-                row.token,
-                window,
-                row.fixed[window],
-                min(MAX_SEND_SECONDS, remaining),
-                check_lease,
-            )
-        except LeaseLost:
-            return False
-        except CactusError as error:
-            self.counters.add("usage_failed")
-            log_line("usage-not-sent", window=window, cause=str(error))
-            if self._unreachable_since is None:
-                self._unreachable_since = started
-            return False
-        self._unreachable_since = None
-        if 200 <= status < 300:
-            self._acknowledged.add(window)
-            self.counters.add("usage_reported")
-            return True
-        self.counters.add("usage_refused")
-        log_line("usage-refused", window=window, status=status)
-        return False
--- a/cactusshed/usage/dutyrow.py
+++ b/cactusshed/usage/dutyrow.py
@@ -1,4 +1,4 @@
-"""The duty's row in the store: its holder, and the counts fixed but not acknowledged."""
+"""The duty's row in the store: its holder, and the fixed counts of windows."""
 
 import msgspec
 
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -19,7 +19,8 @@
 from ..policy.usagewindows import Source, WindowTotals
 from ..store.httpcalls import HttpCalls
 from .counting import UsageCounter
-from .duty import SendReport, UsageDuty
+from .duty import UsageDuty
+from .sending import ReportSender, SendReport
 
 __all__ = ["UsageReporter", "open_reporter"]
 
@@ -59,6 +60,7 @@
     clock: TrueTime = attrs.field(init=False)
     counter: UsageCounter = attrs.field(init=False)
     duty: UsageDuty = attrs.field(init=False)
+    sender: ReportSender = attrs.field(init=False)
     _sequence: int = 0
     _ticks: int = 0
     _changed: dict[int, int] = attrs.Factory(dict)
@@ -85,7 +87,6 @@
             self.start_time,
             self.settings,
             self.store,
-            self.send_report,
             self.list_members,
             self._broadcast_state,
             self.clock,
@@ -95,10 +96,13 @@
             self.read_boottime,
             self.sleep,
         )
+        self.sender = ReportSender(
+            self.duty, self.send_report, self.counters, self.read_boottime, self.sleep
+        )
 
     def list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the tasks to run until the node stops."""
-        return [self.run, self.duty.keep_lease, self.duty.send_reports]
+        return [self.run, self.duty.keep_lease, self.sender.run]
 
     def _broadcast_state(self, frame: UsageHolder) -> None:
         self._apply_state(frame)
