--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -116,7 +116,7 @@
     The order is by hash, so that the nodes of one data centre, which are often cut off
     together, don't follow each other.
     """
-    return sorted(names, key=lambda name: (xxhash.xxh64_intdigest(name), name))
+    return sorted(names, key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name))
 
 
 def find_rank(node: str, names: Iterable[str]) -> int:
--- a/cactusshed/usage/sending.py
+++ b/cactusshed/usage/sending.py
@@ -21,6 +21,11 @@
 """Interval at which the row is searched for unsent windows."""
 RETRY_SECONDS = 0.5
 """Pause after a report that was not acknowledged."""
+REFUSED_SECONDS = 5.0
+"""Time after which a report is repeated that the platform has refused by itself; later
+windows are sent meanwhile."""
+BUSY_STATUSES = (429, 500, 502, 503, 504)
+"""Statuses that say nothing about the report itself."""
 PAUSE_SECONDS = 0.05
 """Pause between reports: at most 20 a second, of the 50 that the platform accepts."""
 MAX_SEND_SECONDS = 2.0
@@ -36,6 +41,8 @@
     counters: Counters
     read_boottime: Callable[[], float]
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
+    _refused: dict[int, float] = attrs.Factory(dict)
+    """Refused windows, and when they are sent again."""
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -45,13 +52,15 @@
             if row is None:
                 continue
             for window in sorted(row.fixed.keys() - self.duty.acknowledged):
+                if self._refused.get(window, 0.0) > self.read_boottime():
+                    continue
                 if not await self._send(row, window):
                     await self.sleep(RETRY_SECONDS)
                     break
                 await self.sleep(PAUSE_SECONDS)
 
     async def _send(self, row: DutyRow, window: int) -> bool:
-        """Send one report; return whether the platform acknowledged it."""
+        """Send one report; return whether to go on with the next one at once."""
         duty = self.duty
         lease = duty.lease
         started = self.read_boottime()
@@ -88,8 +97,12 @@
         duty.unreachable_since = None
         if 200 <= status < 300:
             duty.acknowledged.add(window)
+            self._refused.pop(window, None)
             self.counters.add("usage_reported")
             return True
         self.counters.add("usage_refused")
         log_line("usage-refused", window=window, status=status)
-        return False
+        if status in BUSY_STATUSES:
+            return False
+        self._refused[window] = self.read_boottime() + REFUSED_SECONDS
+        return True
