Usage reports: of a node's messages on its time the fastest counts

A holder frozen for 2.4 s read the messages queued meanwhile as votes for a time 2 s back, and moved the windows of all nodes: 60 of 905 calls in the wrong one.

--- a/cactusshed/policy/truetime.py
+++ b/cactusshed/policy/truetime.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["TrueTime", "choose_fleet_time"]
+__all__ = ["FastestVote", "TrueTime", "choose_fleet_time"]
 
 SAMPLE_COUNT = 61
 """Samples of the wall clock, of which the median counts: a jump that is taken back
@@ -14,11 +14,29 @@
 """Difference from the fleet's time below which the own clock is kept. The fleet's time
 is late by the latency of two messages, and a shift of 0.2 s moves 4 % of a window of
 5 s."""
+VOTE_COUNT = 8
+"""Messages of one node of which the fastest counts. A message can only be late, by
+seconds if its receiver was frozen."""
 SETTLE_SECONDS = 8.0
 """Time without any word from the fleet after which the own clock is used: the time in
 which a fleet that starts at once finds a holder of the duty, and two seconds."""
 
 
+@attrs.define
+class FastestVote:
+    """The difference of another node's time from this one's, by its fastest message."""
+
+    _offsets: deque[float] = attrs.Factory(lambda: deque(maxlen=VOTE_COUNT))
+
+    def add(self, offset: float) -> None:
+        """Record the time stated in a message, less that of its arrival."""
+        self._offsets.append(offset)
+
+    def get(self) -> float | None:
+        """Return the difference, or `None` before the first message."""
+        return max(self._offsets, default=None)
+
+
 @attrs.define
 class TrueTime:
     """Maps `CLOCK_BOOTTIME` to true time by an offset that jumps don't move.
@@ -30,7 +48,7 @@
 
     started_at: float
     _samples: deque[float] = attrs.Factory(lambda: deque(maxlen=SAMPLE_COUNT))
-    _fleet_offset: float | None = None
+    _fleet_offset: FastestVote = attrs.Factory(FastestVote)
 
     def add_sample(self, wall: float, now: float) -> None:
         """Record the wall clock at boot time `now`."""
@@ -42,16 +60,19 @@
 
     def note_fleet_time(self, fleet_time: float, now: float) -> None:
         """Use the time that most nodes agree on if the own clock is far from it."""
-        self._fleet_offset = fleet_time - now
+        self._fleet_offset.add(fleet_time - now)
 
     def is_settled(self, now: float) -> bool:
         """Return whether the own clock has been compared, or can't be."""
-        return self._fleet_offset is not None or now - self.started_at > SETTLE_SECONDS
+        return (
+            self._fleet_offset.get() is not None
+            or now - self.started_at > SETTLE_SECONDS
+        )
 
     def get_offset(self) -> float:
         """Return the difference of true time and boot time."""
         own = statistics.median(self._samples)
-        fleet = self._fleet_offset
+        fleet = self._fleet_offset.get()
         if fleet is None or abs(fleet - own) <= MIN_CORRECTION_SECONDS:
             return own
         return fleet
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -14,7 +14,7 @@
 from ..observe.counters import Counters
 from ..platform.rows import RowStore
 from ..platform.usagereports import send_report
-from ..policy.truetime import TrueTime, choose_fleet_time
+from ..policy.truetime import FastestVote, TrueTime, choose_fleet_time
 from ..policy.usagelease import rank_nodes
 from ..policy.usagewindows import Source, WindowTotals
 from ..store.httpcalls import HttpCalls
@@ -67,7 +67,7 @@
     """Number of the report in which each window's counts last changed."""
     _sent: dict[str, tuple[object, int]] = attrs.Factory(dict)
     """Link to each receiver, and the number of the last report sent over it."""
-    _votes: dict[str, float] = attrs.Factory(dict)
+    _votes: dict[str, FastestVote] = attrs.Factory(dict)
     """Each node's own time, as the difference from this node's boot time."""
     _standby: str = ""
     _passed_on: tuple[str, set[Source]] = ("", set())
@@ -140,13 +140,14 @@
         if frame.until_ms:
             self.totals.note_complete(frame.node, frame.until_ms / 1000)
         if frame.time_ms:
-            self._votes[frame.node] = frame.time_ms / 1000 - self.read_boottime()
+            vote = self._votes.setdefault(frame.node, FastestVote())
+            vote.add(frame.time_ms / 1000 - self.read_boottime())
 
     def _get_fleet_time(self, now: float) -> float | None:
         """Return the time that most nodes agree on, once most have stated theirs."""
         members = [member.node for member in self.list_members() if member.is_up]
         nodes = [self.node, *members]
-        votes = [self._votes[node] for node in nodes if node in self._votes]
+        votes = [self._votes[node].get() for node in nodes if node in self._votes]
         if 2 * len(votes) <= len(nodes):
             return None
         return now + choose_fleet_time(votes)
