--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -167,17 +167,27 @@
         self._is_weak = is_weak
         self.acknowledged.clear()
         self.unreachable_since = None
-        await self._write(row.first, row.fixed, row.token + 1, version)
+        # The standby has the other nodes' counts already.
+        first, fixed = self._choose_content(row, now, 0.0)
+        await self._write(first, fixed, row.token + 1, version)
 
     async def _renew(self, now: float) -> None:
-        row = self.row
+        first, fixed = self._choose_content(self.row, now, now - self._acquired_at)
+        await self._write(first, fixed, self.row.token, self.lease.row_version)
+
+    def _choose_content(
+        self, row: DutyRow, now: float, held_for: float
+    ) -> tuple[int, dict[int, dict[str, int]]]:
+        """Return the first window that the next write does not fix, and the fixed ones.
+
+        `held_for` is the time for which this node has had the duty.
+        """
         fixed = {w: c for w, c in row.fixed.items() if w not in self.acknowledged}
-        final = self._find_final(row, len(fixed), now)
-        first = max(final) + 1 if final else row.first
-        await self._write(first, {**fixed, **final}, row.token, self.lease.row_version)
+        final = self._find_final(row, len(fixed), now, held_for)
+        return max(final) + 1 if final else row.first, {**fixed, **final}
 
     def _find_final(
-        self, row: DutyRow, held: int, now: float
+        self, row: DutyRow, held: int, now: float, held_for: float
     ) -> dict[int, dict[str, int]]:
         """Return the counts of the windows that can be fixed by the next write."""
         if not self.clock.is_settled(now):
@@ -197,7 +207,7 @@
             seconds=seconds,
             due=self.settings.due,
             nodes=[self.node, *live],
-            held_for=now - self._acquired_at,
+            held_for=held_for,
         )
 
     async def _write(
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -188,6 +188,35 @@
     assert_that(len(fleet.find_late()), LessThan(2))
 
 
+@pytest.mark.parametrize("seconds", [0.25, 0.5])
+def test_slow_store(seconds):
+    """Guards against a lease that ends between renewals by a store under load."""
+
+    async def scenario(fleet):
+        fleet.store.latency = seconds
+        await asyncio.sleep(30)
+        fleet.kill(await fleet.wait_holder())
+        await asyncio.sleep(30)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet)
+    assert_that(len({report.token for report in fleet.reports}), Equals(2))
+
+
+@pytest.mark.parametrize("seconds", [0.8, 1.3])
+def test_slow_api(seconds):
+    """Guards against reports that are sent again although they are being answered."""
+
+    async def scenario(fleet):
+        fleet.api_delay = seconds
+        await asyncio.sleep(40)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet)
+    windows = [report.window for report in fleet.reports]
+    assert_that(len(windows), Equals(len(set(windows))))
+
+
 @pytest.mark.parametrize("fault", ["lose", "late", "drop"])
 def test_first_writes_lose_their_answers(fault):
     """Guards against two first holders when the first writes' answers are lost."""
--- a/tests/usagefleet.py
+++ b/tests/usagefleet.py
@@ -153,6 +153,7 @@
     rows: dict = attrs.Factory(dict)
     version: int = 0
     fault: str = ""
+    latency: float = LATENCY
     calls: int = 0
 
     def commit(self, puts) -> int | None:
@@ -176,7 +177,7 @@
     async def _begin(self) -> str:
         self.store.calls += 1
         fault = self.host.store_fault or self.store.fault
-        await self.host.sleep(LATENCY)
+        await self.host.sleep(self.store.latency)
         if fault == "busy":
             raise PlatformUnavailable("busy")
         return fault
@@ -221,6 +222,7 @@
         self.reports: list[Report] = []
         self.truth: dict[int, Counter] = {}
         self.api_fault = ""
+        self.api_delay = LATENCY
         self.hosts = {
             name: Host(name, 1000.0 * (1 + index), wall_errors.get(name, 0.0))
             for index, name in enumerate(names)
@@ -329,7 +331,10 @@
                 left = max(0.0, started + timeout - self.loop.time())
                 await host.sleep(left)
                 raise AnswerLost("no response")
-            await host.sleep(LATENCY)
+            if self.api_delay > timeout:
+                await host.sleep(timeout)
+                raise AnswerLost("no response")
+            await host.sleep(self.api_delay)
             return int(fault) if fault else 200
 
         return send
