--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -120,7 +120,7 @@
         sent = SentRequest(call.route, started, deadline, report)
         self.silence.add(sent)
         is_counted = self.usage is not None and call.tenant != ""
-        counted_at = self.usage.start(call.tenant) if is_counted else 0.0
+        counts_key = self.usage.start(call.tenant) if is_counted else 0
         was_refused = False
         try:
             async with asyncio.timeout(limit):
@@ -148,7 +148,7 @@
             self.silence.remove(sent, was_answered=answer is not None)
             was_refused = was_refused or (answer is not None and denies_run(answer))
             if is_counted and was_refused:
-                self.usage.undo(call.tenant, counted_at)
+                self.usage.undo(call.tenant, counts_key)
         self.pool.release(upstream)
         return self._read_answer(running, answer, started), answer
 
--- a/cactusshed/usage/counting.py
+++ b/cactusshed/usage/counting.py
@@ -7,8 +7,8 @@
 
 __all__ = ["UsageCounter"]
 
-BIN_SECONDS = 0.1
-"""Length of the bins in which calls count while the true time is unknown: 2 % of a
+BIN_SECONDS = 0.125
+"""Length of the bins in which calls count while the true time is unknown: 2.5 % of a
 window."""
 
 Counts = dict[str, int]
@@ -30,24 +30,27 @@
         self._clock = clock
         self._read_boottime = read_boottime
         self._bins: dict[int, Counts] = {}
+        self._assigned: dict[int, int] = {}
+        """Windows to which the calls of earlier bins were assigned."""
         self._counts: Counts = {}
+        self._key = 0
         self._begin = self._end = 0.0
         self._touched: set[int] = set()
 
-    def start(self, tenant: str) -> float:
-        """Count a call that is being sent; return the time for `undo`."""
+    def start(self, tenant: str) -> int:
+        """Count a call that is being sent; return the key of its counts for `undo`."""
         now = self._read_boottime()
         if not self._begin <= now < self._end:
             self._select_counts(now)
         counts = self._counts
         counts[tenant] = counts.get(tenant, 0) + 1
-        return now
+        return self._key
 
-    def undo(self, tenant: str, started: float) -> None:
+    def undo(self, tenant: str, key: int) -> None:
         """Uncount a call that the target did not run."""
-        window = self._find_window(started)
-        counts = self._bins.get(int(started // BIN_SECONDS))
-        if counts is None or tenant not in counts:
+        counts = self._bins.get(key)
+        if counts is None:
+            window = self._assigned.get(key, key)
             counts = self.windows.get(window, {})
             self._touched.add(window)
         if counts.get(tenant, 0) > 0:
@@ -59,10 +62,12 @@
     def _select_counts(self, now: float) -> None:
         if not self._clock.is_settled(now):
             number = int(now // BIN_SECONDS)
-            self._counts = self._bins.setdefault(number, {})
+            # Windows are positive.
+            self._key = -1 - number
+            self._counts = self._bins.setdefault(self._key, {})
             self._begin, self._end = number * BIN_SECONDS, (number + 1) * BIN_SECONDS
             return
-        window = self._find_window(now)
+        window = self._key = self._find_window(now)
         self._touched.add(window)
         self._counts = self.windows.setdefault(window, {})
         self._begin = window * self._seconds - self._clock.get_offset()
@@ -75,8 +80,10 @@
         self._begin = self._end = 0.0
         if not self._clock.is_settled(now):
             return
-        for number, counts in self._bins.items():
+        for key, counts in self._bins.items():
+            number = -1 - key
             window = self._find_window((number + 0.5) * BIN_SECONDS)
+            self._assigned[key] = window
             total = self.windows.setdefault(window, {})
             self._touched.add(window)
             for tenant, count in counts.items():
--- a/standins/meshfleet.py
+++ b/standins/meshfleet.py
@@ -9,7 +9,7 @@
 from cactusshed.clock import read_wall
 from cactusshed.mesh.sidecar import Sidecar
 from cactusshed.mesh.upstream import Answer, NotSent, Upstream, open_upstream
-from cactusshed.nodesettings import Bounds, Settings
+from cactusshed.nodesettings import Bounds, Settings, UsageSettings
 from cactusshed.options import Address
 
 from .meshtarget import MeshTarget, open_mesh_target
@@ -195,6 +195,7 @@
         self.store = store
         self.store_address: Address | None = None
         self.nodes: list[MeshNode] = []
+        self.usage: UsageSettings | None = None
         self._listener = listener
 
     @classmethod
@@ -224,6 +225,7 @@
             memory_bytes=300 << 20,
             link_mbps=1000.0,
             bounds=BOUNDS,
+            usage=self.usage,
         )
         return await self.run(settings, local_target)
 
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -11,7 +11,7 @@
 WIRE = re.compile(
     r"x-attempt-id|x-deadline-ms|x-response-seal|x-expect-instance|x-server-load"
     r"|x-not-executed|x-caller-service|x-instance-id|x-cold-ms"
-    r"|server-limit|server-leaving|rows-tx|rows-get|rows-feed|blob-put|instances\.(heartbeat|leave)"
+    r"|x-duty-holder|x-fence-token|server-limit|server-leaving|rows-tx|rows-get|rows-feed|blob-put|instances\.(heartbeat|leave)"
     r"|cactusshed_boot|app_addr|heartbeat_addr|cold_left|rolled_back|max_header_bytes",
     re.IGNORECASE,
 )
