--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -19,6 +19,7 @@
     async def work():
         fleet = UsageFleet(*(names or NODES), **wall_errors)
         await scenario(fleet)
+        fleet.watcher.cancel()
         for host in fleet.hosts.values():
             for task in host.tasks:
                 task.cancel()
@@ -30,6 +31,7 @@
 def assert_rules(fleet, *, late=(), wrong=()):
     """Check all rules; `late` and `wrong` are the windows allowed to break theirs."""
     assert_that(fleet.find_breaches(), Equals([]))
+    assert_that(fleet.overlaps[:3], Equals([]))
     assert_that([w for w in fleet.find_late() if w not in late], Equals([]))
     assert_that(fleet.find_missing(), Equals([]))
     found = [w for w in fleet.find_wrong() if int(w.split(" ")[0]) not in wrong]
@@ -141,12 +143,13 @@
     """Guards against a check of the lease before, not after, a wait for the socket."""
 
     async def scenario(fleet):
+        fleet.connect_steps = 40
         await asyncio.sleep(21)
         holder = fleet.hosts[await fleet.wait_holder()]
         duty = holder.reporter.duty
         while not (duty.row.fixed.keys() - duty.acknowledged):
             await asyncio.sleep(0.01)
-        await asyncio.sleep(0.11)
+        await asyncio.sleep(0.25)
         holder.freeze()
         await fleet.wait_holder(other_than=holder.name)
         await asyncio.sleep(2)
@@ -358,7 +361,7 @@
     """Guards against a node that exits before its last counts have arrived."""
 
     async def scenario(fleet):
-        await asyncio.sleep(22)
+        await asyncio.sleep(22.4)
         holder = await fleet.wait_holder()
         other = next(name for name in NODES if name != holder)
         stops.append(fleet.now_window())
@@ -387,6 +390,23 @@
     assert_rules(run_fleet(scenario))
 
 
+def test_counts_of_an_ended_node_reach_a_holder_that_was_not_the_standby():
+    """Guards against counts that remain with a standby that can't take over."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(22.3)
+        holder = await fleet.wait_holder()
+        standby = fleet.hosts[holder].reporter._standby
+        other = next(name for name in NODES if name not in (holder, standby))
+        fleet.hosts[standby].store_fault = "cut"
+        fleet.kill(other)
+        await asyncio.sleep(0.1)
+        fleet.kill(holder)
+        await asyncio.sleep(25)
+
+    assert_rules(run_fleet(scenario))
+
+
 @pytest.mark.parametrize("error", [-7.0, 4.0, 30.0])
 def test_clock_that_is_wrong_at_the_start(error):
     """Guards against windows in the time of one host, also if it is the holder."""
--- a/tests/usagefleet.py
+++ b/tests/usagefleet.py
@@ -223,6 +223,10 @@
         self.truth: dict[int, Counter] = {}
         self.api_fault = ""
         self.api_delay = LATENCY
+        self.connect_steps = 1
+        self.overlaps: list[tuple[float, list[str]]] = []
+        """Times at which several nodes had a valid lease, and these nodes."""
+        self.watcher = self.loop.create_task(self._watch())
         self.hosts = {
             name: Host(name, 1000.0 * (1 + index), wall_errors.get(name, 0.0))
             for index, name in enumerate(names)
@@ -310,7 +314,8 @@
 
         async def send(holder, token, window, counts, timeout, check_lease) -> int:
             started = self.loop.time()
-            await host.sleep(LATENCY)
+            for _ in range(self.connect_steps):
+                await host.sleep(LATENCY)
             fault = host.api_fault or self.api_fault
             if fault == "cut":
                 await host.sleep(min(timeout, 1.0))
@@ -341,15 +346,23 @@
 
     def find_holder(self) -> str:
         """Return the node that has a valid lease; empty if there is none."""
-        found = [
+        return next(iter(self._list_holders()), "")
+
+    def _list_holders(self) -> list[str]:
+        return [
             host.name
             for host in self.hosts.values()
             if host.is_alive
             and host.reporter.duty.lease is not None
             and host.reporter.duty.lease.is_live(host.read_boottime())
         ]
-        assert len(found) <= 1, found
-        return found[0] if found else ""
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(LATENCY)
+            holders = self._list_holders()
+            if len(holders) > 1:
+                self.overlaps.append((self.loop.time(), holders))
 
     async def wait_holder(self, *, other_than: str = "") -> str:
         """Wait until a node, or another node, holds the duty; return its name."""
