--- a/tests/usagefleet.py
+++ b/tests/usagefleet.py
@@ -27,6 +27,8 @@
 """Time limit of a call to the store."""
 LINK_LOSS_SECONDS = 3.0
 """Time until a node notices that another one is cut off."""
+MAX_ACT_SECONDS = 2.5
+"""Time after a renewal took effect for which a holder may act at most."""
 THAW_SECONDS = 0.3
 """Time after a freeze for which calls of the sender are excused."""
 
@@ -155,6 +157,8 @@
     fault: str = ""
     latency: float = LATENCY
     calls: int = 0
+    committed_at: float = 0.0
+    """Time of the last write that took effect."""
 
     def commit(self, puts) -> int | None:
         """Apply conditional writes; return the new version, or `None` if refused."""
@@ -162,6 +166,7 @@
             if self.rows.get(put.key, (b"", 0))[1] != put.expected:
                 return None
         self.version += 1
+        self.committed_at = asyncio.get_running_loop().time()
         for put in puts:
             self.rows[put.key] = (put.value, self.version)
         return self.version
@@ -363,6 +368,11 @@
             holders = self._list_holders()
             if len(holders) > 1:
                 self.overlaps.append((self.loop.time(), holders))
+            for host in map(self.hosts.get, holders):
+                lease = host.reporter.duty.lease
+                end = self.store.committed_at + MAX_ACT_SECONDS
+                if lease.valid_until - host.boot_base > end:
+                    self.overlaps.append((self.loop.time(), ["longer than the lease"]))
 
     async def wait_holder(self, *, other_than: str = "") -> str:
         """Wait until a node, or another node, holds the duty; return its name."""
