--- a/cactusshed/policy/truetime.py
+++ b/cactusshed/policy/truetime.py
@@ -56,7 +56,7 @@
 
     def get_own_time(self, now: float) -> float:
         """Return the time by this host's clock, which is the node's vote."""
-        return now + statistics.median(self._samples)
+        return now + statistics.median_low(self._samples)
 
     def note_fleet_time(self, fleet_time: float, now: float) -> None:
         """Use the time that most nodes agree on if the own clock is far from it."""
@@ -71,7 +71,7 @@
 
     def get_offset(self) -> float:
         """Return the difference of true time and boot time."""
-        own = statistics.median(self._samples)
+        own = statistics.median_low(self._samples)
         fleet = self._fleet_offset.get()
         if fleet is None or abs(fleet - own) <= MIN_CORRECTION_SECONDS:
             return own
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -258,7 +258,7 @@
     counters: Counters,
 ) -> UsageReporter:
     """Return the reporter of a node whose deployment has usage reports."""
-    calls = HttpCalls("usage_api", settings.usage.address, counters, busy_statuses=())
+    calls = HttpCalls("usage", settings.usage.address, counters, busy_statuses=())
 
     async def send(holder, token, window, counts, timeout, check_lease) -> int:
         def before_send(upstream: Upstream) -> None:
--- a/cactusshed/usage/sending.py
+++ b/cactusshed/usage/sending.py
@@ -89,7 +89,6 @@
         except LeaseLost:
             return False
         except CactusError as error:
-            self.counters.add("usage_failed")
             log_line("usage-not-sent", window=window, cause=str(error))
             if duty.unreachable_since is None:
                 duty.unreachable_since = started
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -255,7 +255,7 @@
     async def work():
         address = Address("127.0.0.1", choose_port())
         app, listener = await open_usage_api(address)
-        calls = HttpCalls("usage_api", address, Counters(), busy_statuses=())
+        calls = HttpCalls("usage", address, Counters(), busy_statuses=())
         status = await send_report(
             calls, "a-1", 7, 353445120, {"pulo780": 412}, 1.0, lambda upstream: None
         )
@@ -283,7 +283,7 @@
     async def work():
         address = Address("127.0.0.1", choose_port())
         app, listener = await open_usage_api(address)
-        calls = HttpCalls("usage_api", address, Counters(), busy_statuses=())
+        calls = HttpCalls("usage", address, Counters(), busy_statuses=())
 
         def fail(upstream):
             raise LeaseLost("the lease has expired")
