--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -1,6 +1,7 @@
 """The duty of usage reports under faults, in virtual time."""
 
 import asyncio
+import random
 
 import pytest
 from testtools.assertions import assert_that
@@ -464,6 +465,66 @@
     assert_rules(run_fleet(scenario))
 
 
+async def inject_fault(fleet, rng):
+    """Inject a random fault at one host, mostly the holder's, and end it."""
+    holder = fleet.find_holder()
+    name = holder if holder and rng.random() < 0.7 else rng.choice(NODES)
+    host = fleet.hosts[name]
+    seconds = rng.uniform(0.2, 7.0)
+    kind = rng.choice(("kill", "freeze", "store", "api", "cut", "stop", "all"))
+    if not host.is_alive or not host.running.is_set() or host.is_cut:
+        return
+    if kind == "kill":
+        fleet.kill(name)
+        await asyncio.sleep(seconds)
+        fleet.start(name)
+    elif kind == "freeze":
+        host.freeze()
+        await asyncio.sleep(seconds)
+        host.wake()
+    elif kind == "store":
+        host.store_fault = rng.choice(("cut", "busy", "lose", "drop", "late"))
+        await asyncio.sleep(seconds)
+        host.store_fault = ""
+    elif kind == "api":
+        host.api_fault = rng.choice(("cut", "lose", "503"))
+        await asyncio.sleep(seconds)
+        host.api_fault = ""
+    elif kind == "cut":
+        await fleet.cut(name, seconds)
+    elif kind == "stop":
+        await fleet.stop(name, drain=seconds / 3)
+        await asyncio.sleep(1.0)
+        fleet.start(name)
+    else:
+        fleet.store.fault = rng.choice(("busy", "lose", "drop", "late", "silent"))
+        await asyncio.sleep(seconds)
+        fleet.store.fault = ""
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_faults(seed):
+    """Guards against breaches by faults that coincide, in an order nobody thought of.
+
+    The rules for holders and counts hold always, and all windows are reported in the
+    end; how late, and with which counts, depends on the faults.
+    """
+    rng = random.Random(seed)  # noqa: S311
+
+    async def scenario(fleet):
+        await asyncio.sleep(8)
+        for _ in range(25):
+            faults = [inject_fault(fleet, rng) for _ in range(rng.choice((1, 1, 2)))]
+            await asyncio.gather(*faults)
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+        await asyncio.sleep(60)
+
+    fleet = run_fleet(scenario)
+    assert_that(fleet.find_breaches(), Equals([]))
+    assert_that(fleet.overlaps[:3], Equals([]))
+    assert_that(fleet.find_missing(), Equals([]))
+
+
 def test_cost_of_the_duty():
     """Guards against a cost that grows with the square of the fleet.
 
