--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ..clock import read_monotonic
 from ..errors import AnswerLost, CactusError, ConditionFailed
 from ..mesh.frames import UsageHolder
 from ..mesh.member import Member
@@ -198,7 +199,7 @@
         own_start = int((self.clock.started_at + self.clock.get_offset()) // seconds)
         found = self.totals.find_first()
         first = row.first or min(own_start, own_start if found is None else found)
-        live = [member.node for member in self.list_members() if member.is_up]
+        awaited = [m.node for m in self.list_members() if self._is_awaited(m)]
         return find_final_windows(
             self.totals,
             first=max(first, current - MAX_KEPT_WINDOWS),
@@ -206,10 +207,20 @@
             now=true_time,
             seconds=seconds,
             due=self.settings.due,
-            nodes=[self.node, *live],
+            nodes=[self.node, *awaited],
             held_for=held_for,
         )
 
+    def _is_awaited(self, member: Member) -> bool:
+        """Return whether a node's counts may still come.
+
+        A node whose link was lost may have been cut off for a moment.
+        """
+        if member.is_up:
+            return True
+        lost_for = read_monotonic() - member.last_seen
+        return not member.is_leaving and lost_for < self.settings.due
+
     async def _write(
         self, first: int, fixed: dict[int, dict[str, int]], token: int, version: int
     ) -> None:
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -264,6 +264,20 @@
         assert_that(report.counts["pulo"], GreaterThan(0.75 * truth))
 
 
+@pytest.mark.parametrize("offset", [0.0, 1.0, 2.0, 3.0, 4.0])
+def test_counts_of_a_host_that_was_cut_off_for_a_moment(offset):
+    """Guards against a window fixed without a node as soon as its link is lost."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(20 + offset)
+        holder = await fleet.wait_holder()
+        other = next(name for name in NODES if name != holder)
+        await fleet.cut(other, 3.4)
+        await asyncio.sleep(20)
+
+    assert_rules(run_fleet(scenario))
+
+
 def test_other_node_cut_off_does_not_take_over():
     """Guards against a takeover by a node that only misses the holder's messages."""
 
--- a/tests/usagefleet.py
+++ b/tests/usagefleet.py
@@ -131,6 +131,12 @@
     host: Host
     link: Link
     is_up: bool = True
+    last_seen: float = 0.0
+
+    def lose(self) -> None:
+        """Note that the link was lost."""
+        self.is_up = False
+        self.last_seen = asyncio.get_running_loop().time()
 
     @property
     def node(self) -> str:
@@ -278,7 +284,7 @@
             task.cancel()
         for other in self.hosts.values():
             if name in other.members:
-                other.members[name].is_up = False
+                other.members[name].lose()
 
     async def stop(self, name: str, drain: float = 2.5) -> None:
         """Stop a node as planned; it gets no new calls, and drains for a while."""
@@ -296,7 +302,7 @@
         host.is_cut = True
         await asyncio.sleep(min(seconds, LINK_LOSS_SECONDS))
         for one, other in self._list_pairs(host):
-            one.members[other.name].is_up = False
+            one.members[other.name].lose()
         await asyncio.sleep(max(0.0, seconds - LINK_LOSS_SECONDS))
         host.is_cut = False
         for one, other in self._list_pairs(host):
