--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -212,14 +212,9 @@
         )
 
     def _is_awaited(self, member: Member) -> bool:
-        """Return whether a node's counts may still come.
-
-        A node whose link was lost may have been cut off for a moment.
-        """
-        if member.is_up:
-            return True
-        lost_for = read_monotonic() - member.last_seen
-        return not member.is_leaving and lost_for < self.settings.due
+        """Return whether a node's counts may come, perhaps after a short cut."""
+        lost_for = 0.0 if member.is_up else read_monotonic() - member.last_seen
+        return lost_for < self.settings.due and (member.is_up or not member.is_leaving)
 
     async def _write(
         self, first: int, fixed: dict[int, dict[str, int]], token: int, version: int
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -272,7 +272,7 @@
         await asyncio.sleep(20 + offset)
         holder = await fleet.wait_holder()
         other = next(name for name in NODES if name != holder)
-        await fleet.cut(other, 3.4)
+        await fleet.cut(other, 3.2, noticed_after=0.2)
         await asyncio.sleep(20)
 
     assert_rules(run_fleet(scenario))
--- a/tests/usagefleet.py
+++ b/tests/usagefleet.py
@@ -296,14 +296,16 @@
         await host.reporter.finish(0.3)
         self.kill(name)
 
-    async def cut(self, name: str, seconds: float) -> None:
+    async def cut(
+        self, name: str, seconds: float, noticed_after: float = LINK_LOSS_SECONDS
+    ) -> None:
         """Cut a host off from the others for a while."""
         host = self.hosts[name]
         host.is_cut = True
-        await asyncio.sleep(min(seconds, LINK_LOSS_SECONDS))
+        await asyncio.sleep(min(seconds, noticed_after))
         for one, other in self._list_pairs(host):
             one.members[other.name].lose()
-        await asyncio.sleep(max(0.0, seconds - LINK_LOSS_SECONDS))
+        await asyncio.sleep(max(0.0, seconds - noticed_after))
         host.is_cut = False
         for one, other in self._list_pairs(host):
             self._connect(one, other)
