--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -1,20 +1,20 @@
 """Server side of one HTTP/1.1 connection: strict parsing within size limits."""
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 import httptools
 
+from ..connections.outgoing import Outgoing
 from ..observe.lines import log_line
 from ..parseturns import PacedReader
 from ..policy.bodybudget import RETRY_SECONDS
-from ..requestparser import RequestParser, has_unknown_coding
-from ..sockets import count_unsent_bytes
+from ..readbuffer import get_read_buffers
+from ..requestparser import RequestParser, find_violation
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
 from .requestmeter import RequestMeter, TooManyBytes
-from .responses import encode_response
+from .responses import encode_head
 from .upstream import Headers
 
 if TYPE_CHECKING:
@@ -22,12 +22,8 @@
 
 __all__ = ["Connection"]
 
-LINGER_SECONDS = 0.5
-"""Time for which data of a refused client is read and dropped before the connection
-closes, so that the client can read the refusal."""
 
-
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection of a client to a listener."""
 
     def __init__(self, listener: "Listener") -> None:
@@ -39,6 +35,10 @@
         )
         self._transport: asyncio.Transport | None = None
         self._reader = PacedReader(self._parse, lambda: not self._is_paused)
+        holders = listener.holders
+        self.outgoing = Outgoing(
+            holders.budgets.output, lambda: holders.relieve_output(self)
+        )
         self._pipeline = Pipeline(
             listener.serve,
             listener.is_safe,
@@ -46,12 +46,22 @@
             self._write,
             self._release,
             self._handle_idle,
+            self.outgoing.note_waiting,
+        )
+        self._meter = RequestMeter(
+            listener.limits,
+            listener.body_budget,
+            holders.budgets.heads,
+            lambda budget, size: holders.make_room(self, budget, size),
         )
-        self._is_discarding = False
+        self._buffers = get_read_buffers()
         self._is_paused = False
-        self._meter = RequestMeter(listener.limits, listener.body_budget)
         self._reset()
-        self.idle_since = 0.0
+        self.is_discarding = False
+        """Whether all further input is dropped."""
+        self.has_served = False
+        """Whether a whole request has arrived."""
+        self.idle_since = self.last_received = 0.0
         self.request_started: float | None = None
 
     def _reset(self) -> None:
@@ -61,6 +71,7 @@
         self._counted_bytes = 0
         self._chunk_count = 0
         self._in_body = False
+        self._is_announced = False
         self._refusal_status = 0
 
     @property
@@ -78,33 +89,44 @@
 
     def count_unsent_bytes(self) -> int:
         """Return the bytes of responses that the client has not received."""
-        return count_unsent_bytes(self._transport)
+        return self.outgoing.count_unsent_bytes()
 
     @property
-    def has_partial_request(self) -> bool:
-        """Return whether part of a request has arrived."""
-        return self.request_started is not None
+    def holds_partial_request(self) -> bool:
+        """Return whether memory is held for a request that is partly received."""
+        return self.request_started is not None and not self.is_discarding
 
     def connection_made(self, transport) -> None:
         """Store the transport and register with the listener."""
         self._transport = self._reader.transport = transport
-        self.idle_since = self._listener.loop.time()
-        self._listener.connections.add(self)
+        self.outgoing.transport = transport
+        self.idle_since = self.last_received = self._listener.loop.time()
+        self._listener.holders.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests being served and drop the waiting ones."""
         self._listener.connections.discard(self)
+        self._drop_input()
+        self._pipeline.cancel()
+        self.outgoing.release()
+
+    def _drop_input(self) -> None:
+        """Free what is held for a request that is partly received."""
+        self.is_discarding = True
         self._reader.stop()
         self._meter.release()
-        self._pipeline.cancel()
+        self._reset()
 
     def pause_writing(self) -> None:
         """Dispatch no further request while the client does not read."""
+        self.outgoing.pause()
         self._pipeline.hold(True)
 
     def resume_writing(self) -> None:
         """Resume after `pause_writing`."""
-        self._pipeline.hold(False)
+        self.outgoing.resume()
+        if not self.outgoing.is_paused:
+            self._pipeline.hold(False)
 
     def eof_received(self) -> bool:
         """Close the connection when the client has closed its sending side.
@@ -114,20 +136,30 @@
         """
         return False
 
+    def get_buffer(self, _sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        # Only chunks and lines make a message wait for turns.
+        return self._buffers.bulk if self._is_announced else self._buffers.slice
+
+    def buffer_updated(self, size: int) -> None:
+        """Parse what was read into the buffer."""
+        self.data_received(bytes(self._buffers.bulk[:size]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received data within the limits."""
-        if not self._is_discarding:
+        if not self.is_discarding:
+            self.last_received = self._listener.loop.time()
             self._reader.receive(data)
 
     def _parse(self, data: bytes) -> None:
         if self.request_started is None:
-            self.request_started = self._listener.loop.time()
+            self.request_started = self.last_received
         self._meter.add_received(len(data), in_body=self._in_body)
         try:
             self._parser.feed_data(data)
             self._count_body()
             if self.request_started is not None:
-                self._meter.check(in_body=self._in_body)
+                self._meter.check(len(self._headers), in_body=self._in_body)
         except (TooManyBytes, httptools.HttpParserError):
             self._refuse(self._meter.refusal_status or self._refusal_status or 400)
 
@@ -157,15 +189,14 @@
         if self._parser.has_offer:
             return
         self._in_body = True
-        if has_unknown_coding(self._headers):
-            self._reject(501)
+        self._refusal_status = find_violation(self._headers)
+        if self._refusal_status:
+            raise ValueError(self._refusal_status)
         self._meter.check_head(self._url, self._headers)
-        hosts = [value for name, value in self._headers if name == b"host"]
-        if len(hosts) > 1:
-            self._reject(400)
         for name, value in self._headers:
             if name == b"content-length":
                 self._meter.reserve(int(value))
+                self._is_announced = True
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._send_continue()
@@ -176,10 +207,6 @@
         if not self.is_busy:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _reject(self, status: int) -> None:
-        self._refusal_status = status
-        raise ValueError(status)
-
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
         self._body += data
@@ -206,10 +233,11 @@
             bytes(self._body),
             self._listener.loop.time(),
             self.request_started,
-            self._meter.end_request(),
+            *self._meter.end_request(),
         )
         keep_alive = self._parser.should_keep_alive()
         self.request_started = None
+        self.has_served = True
         self._reset()
         self._pipeline.add(request, keep_alive=keep_alive)
         if self._pipeline.is_full and not self._is_paused:
@@ -224,11 +252,11 @@
         if request is not None:
             self._release(request)
         is_head = request is not None and request.method == b"HEAD"
-        self._transport.write(
-            encode_response(response, keep_alive=keep_alive, is_head=is_head)
-        )
+        head = encode_head(response, keep_alive=keep_alive, is_head=is_head)
+        self.outgoing.write(head, b"" if is_head else response.body)
         if not keep_alive:
-            self._shut_down()
+            self._drop_input()
+            self.outgoing.end()
         elif self._is_paused and not self._pipeline.is_full:
             self._is_paused = False
             if not self._reader.is_waiting:
@@ -236,50 +264,41 @@
 
     def _release(self, request: Request) -> None:
         self._listener.body_budget.release(request.reserved_bytes)
+        self._listener.holders.budgets.heads.release(request.head_cost)
 
     def _handle_idle(self) -> None:
         self.idle_since = self._listener.loop.time()
 
     def _refuse(self, status: int) -> None:
         """Refuse unreadable input after the requests before it, and close."""
-        self._is_discarding = True
-        self._reader.stop()
-        self._meter.release()
+        path = self._url[:80]
+        self._drop_input()
         self._listener.on_refused(status)
         headers = []
         if status == 503:
-            log_line("no-memory", path=self._url[:80])
+            log_line("no-memory", path=path)
             headers.append((b"retry-after", b"%.3f" % RETRY_SECONDS))
         self._pipeline.add_refusal(make_response(status, headers=headers))
 
-    def _shut_down(self) -> None:
-        """Close the sending side now, and the connection after `LINGER_SECONDS`."""
-        self._is_discarding = True
-        self._reader.stop()
-        self._meter.release()
-        if self._transport.can_write_eof() and not self._transport.is_closing():
-            # The client may have reset the connection a moment ago.
-            with contextlib.suppress(OSError):
-                self._transport.write_eof()
-        self._listener.loop.call_later(LINGER_SECONDS, self._close_once_received)
-
-    def _close_once_received(self) -> None:
-        """Close the connection once the client has received its last response."""
-        if self.count_unsent_bytes() and not self._transport.is_closing():
-            loop = self._listener.loop
-            loop.call_later(LINGER_SECONDS, self._close_once_received)
-        else:
-            self._transport.close()
-
     def time_out(self) -> None:
         """Refuse a request that arrives too slowly."""
-        if not self._is_discarding:
+        if not self.is_discarding:
             self._refuse(408)
 
+    def refuse_partial(self) -> None:
+        """Refuse a request that is partly received, to free its memory."""
+        self._refuse(503)
+
+    def abort(self) -> None:
+        """Close the connection at once, and free what it holds."""
+        self._drop_input()
+        self.outgoing.release()
+        self._transport.abort()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being served."""
         if not self.is_busy:
-            self._transport.close()
+            self.outgoing.close()
 
     @property
     def has_pending_input(self) -> bool:
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -1,9 +1,12 @@
 """HTTP/1.1 listening sockets and the timeouts of their connections."""
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterator
 
+from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
+from ..policy.clientmemory import ClientBudgets, make_control_budgets
 from .connection import Connection
 from .messages import Handler, Request
 from .table import Limits
@@ -16,6 +19,14 @@
 """Bytes of request bodies held by a listener without a budget of its own: targets'
 announcements, probes and metrics have small bodies or none."""
 
+BACKLOG = 1024
+"""Connections that the kernel accepts for the listener."""
+ACCEPTED_AT_ONCE = 8
+"""Connections that asyncio takes from the kernel in one iteration of the loop, before
+any of them can be closed. It takes as many as the backlog that it is told of."""
+DEFAULT_DESCRIPTORS = 16_384
+"""Descriptors of a process whose listener has no budgets of its own."""
+
 
 class Listener:
     """A listening socket and its connections."""
@@ -27,27 +38,44 @@
         on_refused: Callable[[int], None],
         is_safe: Callable[[Request], bool] = lambda _request: False,
         body_budget: BodyBudget | None = None,
+        budgets: ClientBudgets | None = None,
+        on_evicted: Callable[[str], None] = lambda _reason: None,
     ) -> None:
         """Create a listener that is not open yet.
 
         `on_refused` is called with the status of each refused request. Requests of
         one connection run at the same time if `is_safe` returns true for them.
+        `on_evicted` is called with the reason for each client that gives way to others.
         """
         self.serve = serve
         self.limits = limits
         self.on_refused = on_refused
-        self.is_safe = is_safe
+        self._is_safe = is_safe
         self.body_budget = body_budget or BodyBudget(CONTROL_BODY_BYTES)
         self.loop = asyncio.get_running_loop()
-        self.connections: set[Connection] = set()
+        budgets = budgets or make_control_budgets(DEFAULT_DESCRIPTORS)
+        self.holders = Holders(budgets, on_evicted)
+        self.connections: set[Connection] = self.holders.connections
         self.is_closing = False
         self._server: asyncio.Server | None = None
 
-    async def open(self, ip: str, port: int, backlog: int = 1024) -> None:
+    def is_safe(self, request: Request) -> bool:
+        """Return whether a request may run at the same time as others now."""
+        return not self.holders.budgets.output.is_short and self._is_safe(request)
+
+    async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
-        self._server = await self.loop.create_server(
-            lambda: Connection(self), ip, port, backlog=backlog
-        )
+        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+        sock = socket.create_server((ip, port), family=family, backlog=backlog)
+        try:
+            self._server = await self.loop.create_server(
+                lambda: Connection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
+            )
+        except BaseException:
+            sock.close()
+            raise
+        # asyncio has set the kernel's backlog to what it takes at once.
+        sock.listen(backlog)
 
     async def sweep(self) -> None:
         """Time out slow requests and close idle connections until cancelled."""
@@ -87,6 +115,8 @@
 
 
 def _check_timeouts(connection: Connection, now: float, limits: Limits) -> None:
+    if connection.outgoing.held_bytes:
+        connection.outgoing.refresh()
     if connection.is_busy:
         return
     if connection.request_started is not None:
--- a/cactusshed/mesh/messages.py
+++ b/cactusshed/mesh/messages.py
@@ -25,6 +25,8 @@
     started: float
     reserved_bytes: int = 0
     """Bytes that its listener has reserved for the body."""
+    head_cost: int = 0
+    """Memory that its listener has reserved for the head."""
 
     def find(self, name: bytes) -> bytes | None:
         """Return the value of the first header `name`, or `None`."""
--- a/cactusshed/mesh/pipeline.py
+++ b/cactusshed/mesh/pipeline.py
@@ -31,6 +31,8 @@
     keep_alive: bool
     task: asyncio.Task | None = None
     response: Response | None = None
+    is_counted: bool = False
+    """Whether the response was reported as waiting for earlier ones."""
 
 
 @attrs.define(eq=False)
@@ -47,6 +49,9 @@
     """Called with each request that gets no response."""
     on_idle: Callable[[], None]
     """Called after a response with no further request pending."""
+    note_waiting: Callable[..., None]
+    """Called with the size of each response that waits for earlier ones, and with
+    `is_waiting`: whether it begins or ends to wait."""
     _dispatched: deque[_Entry] = attrs.Factory(deque)
     _waiting: deque[_Entry] = attrs.Factory(deque)
     _is_ended: bool = False
@@ -136,6 +141,9 @@
             # Nothing is known about whether it ran, so no status that denies it.
             entry.response = make_response(500)
         entry.task = None
+        if self._dispatched and self._dispatched[0] is not entry:
+            entry.is_counted = True
+            self.note_waiting(len(entry.response.body), is_waiting=True)
         self._write_finished()
 
     def _write_finished(self) -> None:
@@ -149,6 +157,8 @@
             if not keep_alive:
                 # What waits was never dispatched; the client sends it again.
                 self._drop_waiting()
+            if entry.is_counted:
+                self.note_waiting(len(entry.response.body), is_waiting=False)
             self.write(entry.request, entry.response, keep_alive)
             wrote = True
         if wrote and self._waiting:
--- a/cactusshed/mesh/responses.py
+++ b/cactusshed/mesh/responses.py
@@ -1,8 +1,8 @@
-"""Encoding of HTTP/1.1 responses."""
+"""Encoding of the heads of HTTP/1.1 responses."""
 
 from .messages import Response
 
-__all__ = ["encode_response"]
+__all__ = ["encode_head"]
 
 REASON_PHRASES = {
     200: "OK",
@@ -21,8 +21,8 @@
 }
 
 
-def encode_response(response: Response, *, keep_alive: bool, is_head: bool) -> bytes:
-    """Return a response as bytes; the answer to HEAD has no body."""
+def encode_head(response: Response, *, keep_alive: bool, is_head: bool) -> bytes:
+    """Return the head of a response as bytes; the answer to HEAD has no body."""
     status = response.status
     reason = REASON_PHRASES.get(status, "Status")
     lines = [f"HTTP/1.1 {status} {reason}".encode()]
@@ -32,4 +32,5 @@
         lines.append(b"content-length: %d" % len(response.body))
     if not keep_alive:
         lines.append(b"connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if is_head else response.body)
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -14,9 +14,11 @@
 from ..platform import headers as header_names
 from ..platform.rows import RowStore
 from ..policy.bodybudget import compute_kept_answer_bytes, make_body_budgets
+from ..policy.clientmemory import make_caller_budgets, make_control_budgets
 from ..policy.gateretries import GateRetryBudget
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
+from ..sockets import read_descriptor_limit
 from .announcements import Announcements
 from .bodyparts import BodyAssembler
 from .callers import CallerHandler
@@ -73,6 +75,10 @@
         self.request_budget, self.answer_budget = make_body_budgets(
             settings.memory_bytes
         )
+        self.descriptors = min(settings.max_descriptors, read_descriptor_limit())
+        self.caller_budgets = make_caller_budgets(
+            settings.memory_bytes, self.descriptors
+        )
         bounds = settings.bounds
         self.gate = Gate(
             pool=ConnectionPool(
@@ -336,18 +342,28 @@
         settings = self.settings
         probe_handler = ProbeHandler(self)
         listeners = []
-        for address, serve, *options in (
+        caller_options = {
+            "is_safe": caller_handler.is_safe,
+            "body_budget": self.request_budget,
+            "budgets": self.caller_budgets,
+        }
+        for address, serve, options in (
+            (settings.callers, caller_handler.serve, caller_options),
+            (settings.announcements, self.announcements.serve, {}),
+            (settings.probes, probe_handler.serve_readiness, {}),
             (
-                settings.callers,
-                caller_handler.serve,
-                caller_handler.is_safe,
-                self.request_budget,
+                Address(settings.probes.ip, METRICS_PORT),
+                probe_handler.serve_metrics,
+                {},
             ),
-            (settings.announcements, self.announcements.serve),
-            (settings.probes, probe_handler.serve_readiness),
-            (Address(settings.probes.ip, METRICS_PORT), probe_handler.serve_metrics),
         ):
-            listener = Listener(serve, self._get_limits, self._count_refused, *options)
+            listener = Listener(
+                serve,
+                self._get_limits,
+                self._count_refused,
+                on_evicted=self._count_evicted,
+                **{"budgets": make_control_budgets(self.descriptors), **options},
+            )
             try:
                 await listener.open(address.ip, address.port)
             except OSError as error:
@@ -366,6 +382,9 @@
     def _count_refused(self, status: int) -> None:
         self.counters.add(f"refused_{status}")
 
+    def _count_evicted(self, reason: str) -> None:
+        self.counters.add(f"evicted_{reason}")
+
     async def _shut_down(self, listener: Listener) -> None:
         """Announce the shutdown to peers and drain clients and running calls."""
         now = read_monotonic()
--- a/cactusshed/policy/parsework.py
+++ b/cactusshed/policy/parsework.py
@@ -12,6 +12,7 @@
 __all__ = [
     "LINE_BYTES",
     "MAX_HEAD_BYTES",
+    "MIN_LINE_BYTES",
     "SLICE_BYTES",
     "ParseCredit",
     "get_framing_limit",
@@ -28,6 +29,8 @@
 """Maximum size of a head, and of the framing that a message without a body may have."""
 LINE_BYTES = 4
 """Bytes of a header line besides its name and its value."""
+MIN_LINE_BYTES = 3
+"""The same without a space: a head of legal size must pass however it is written."""
 FRAMING_FACTOR = 8
 """Bytes of framing allowed per byte of a small body; chunks of one byte have five."""
 SMALL_BODY_BYTES = 2 << 20
--- a/cactusshed/requestparser.py
+++ b/cactusshed/requestparser.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-__all__ = ["RequestParser", "has_unknown_coding"]
+__all__ = ["RequestParser", "find_violation", "has_unknown_coding"]
 
 Headers = Iterable[tuple[bytes, bytes]]
 """Names, in lower case, and values of headers."""
@@ -24,6 +24,13 @@
     )
 
 
+def find_violation(headers: Headers) -> int:
+    """Return the status that refuses a complete head, 0 if there is no reason to."""
+    if has_unknown_coding(headers):
+        return 501
+    return 400 if sum([name == b"host" for name, _ in headers]) > 1 else 0
+
+
 class RequestParser:
     """Calls the callbacks of a protocol as httptools does.
 
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import fcntl
+import resource
 import socket
 import sys
 import termios
 
-__all__ = ["count_unsent_bytes", "enable_keepalive"]
+__all__ = ["count_unsent_bytes", "enable_keepalive", "read_descriptor_limit"]
 
 KEEPALIVE_IDLE_SECONDS = 1
 """Idle time before the kernel's first TCP keepalive probe."""
@@ -45,3 +46,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def read_descriptor_limit() -> int:
+    """Return how many descriptors this process may have open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if limit == resource.RLIM_INFINITY else limit
--- a/tests/test_listener_mesh.py
+++ b/tests/test_listener_mesh.py
@@ -187,6 +187,9 @@
         def is_closing(self):
             return False
 
+        def get_write_buffer_size(self):
+            return 0
+
         def write_eof(self):
             raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
 
