--- a/cactusshed/connections/holders.py
+++ b/cactusshed/connections/holders.py
@@ -72,7 +72,7 @@
             outgoing = connection.outgoing
             if (
                 connection is not newest
-                and outgoing.is_unread
+                and outgoing.unread_bytes
                 and now - outgoing.progressed_at >= STALLED_SECONDS
             ):
                 yield outgoing.progressed_at, connection
@@ -85,14 +85,14 @@
         output = self.budgets.output
         for connection in self.connections:
             # The transport doesn't tell when a short response is sent.
-            if connection.outgoing.held_bytes and connection is not newest:
+            if connection.outgoing.unread_bytes and connection is not newest:
                 connection.outgoing.refresh()
         if not output.is_exceeded:
             return
         holders = [
             (c.outgoing.progressed_at, c.outgoing.held_bytes, c)
             for c in self.connections
-            if c is not newest and c.outgoing.is_unread
+            if c is not newest and c.outgoing.unread_bytes
         ]
         for connection in list(output.choose_evicted(holders)):
             self._evict(connection, "unread")
@@ -138,7 +138,7 @@
         return 0
     if connection.is_busy:
         return None
-    if connection.outgoing.is_unread:
+    if connection.outgoing.unread_bytes:
         is_stuck = now - connection.outgoing.progressed_at >= STUCK_SECONDS
         return 3 if is_stuck else None
     return 2 if connection.has_served else 1
--- a/cactusshed/connections/outgoing.py
+++ b/cactusshed/connections/outgoing.py
@@ -30,8 +30,8 @@
         self.progressed_at = 0.0
         """Loop time at which the client last received something, or at which the oldest
         unsent response was written."""
-        self.held_bytes = 0
-        """Bytes charged to the budget."""
+        self.unread_bytes = 0
+        """Written bytes that were not sent when they were last counted."""
         self._budget = budget
         self._on_exceeded = on_exceeded
         self._loop = asyncio.get_running_loop()
@@ -45,18 +45,23 @@
         self._is_closing = False
 
     @property
-    def is_unread(self) -> bool:
-        """Return whether the client has yet to read what was written."""
-        return self.held_bytes > self._waiting_bytes
+    def held_bytes(self) -> int:
+        """Return the bytes charged to the budget."""
+        return self.unread_bytes + self._waiting_bytes
 
     def count_unsent_bytes(self) -> int:
         """Return the bytes of written responses that the client has not received."""
         return self._queued_bytes - self._offset + count_unsent_bytes(self.transport)
 
-    def note_waiting(self, size: int, *, is_waiting: bool) -> None:
-        """Charge a response that begins to wait for earlier ones, until it is next."""
-        self._waiting_bytes += size if is_waiting else -size
-        self.refresh()
+    def add_waiting(self, size: int) -> None:
+        """Charge a response that waits for earlier ones; a negative size returns it."""
+        self._waiting_bytes += size
+        self._charge(size)
+
+    def _charge(self, size: int) -> None:
+        self._budget.used += size
+        if size > 0 and self._budget.is_exceeded:
+            self._on_exceeded()
 
     def write(self, head: bytes, body: bytes) -> None:
         """Write a response."""
@@ -95,25 +100,22 @@
             self.transport.close()
 
     def refresh(self) -> None:
-        """Charge what is held now."""
-        held = self._waiting_bytes + self._queued_bytes
-        held += self.transport.get_write_buffer_size()
-        before = self.held_bytes
-        if held == before:
+        """Charge what is unread now."""
+        unread = self._queued_bytes + self.transport.get_write_buffer_size()
+        before = self.unread_bytes
+        if unread == before:
             return
-        if held < before or not before:
+        if unread < before or not before:
             self.progressed_at = self._loop.time()
-        self.held_bytes = held
-        self._budget.used += held - before
-        if held > before and self._budget.is_exceeded:
-            self._on_exceeded()
+        self.unread_bytes = unread
+        self._charge(unread - before)
 
     def release(self) -> None:
         """Drop everything that is not sent."""
-        self._queue.clear()
-        self._queued_bytes = self._offset = self._waiting_bytes = 0
         self._budget.used -= self.held_bytes
-        self.held_bytes = 0
+        self._queue.clear()
+        self._queued_bytes = self._offset = 0
+        self.unread_bytes = self._waiting_bytes = 0
 
     def close(self) -> None:
         """Close the connection after the written responses are sent."""
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -9,7 +9,7 @@
 from ..observe.lines import log_line
 from ..parseturns import PacedReader
 from ..policy.bodybudget import RETRY_SECONDS
-from ..readbuffer import get_read_buffers
+from ..readbuffer import SharedBufferProtocol
 from ..requestparser import RequestParser, find_violation
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
@@ -23,11 +23,12 @@
 __all__ = ["Connection"]
 
 
-class Connection(asyncio.BufferedProtocol):
+class Connection(SharedBufferProtocol):
     """One connection of a client to a listener."""
 
     def __init__(self, listener: "Listener") -> None:
         """Create a connection that serves requests for `listener`."""
+        super().__init__()
         self._listener = listener
         self._parser = RequestParser(
             lambda: httptools.HttpRequestParser(self),
@@ -36,9 +37,8 @@
         self._transport: asyncio.Transport | None = None
         self._reader = PacedReader(self._parse, lambda: not self._is_paused)
         holders = listener.holders
-        self.outgoing = Outgoing(
-            holders.budgets.output, lambda: holders.relieve_output(self)
-        )
+        self._heads, output = holders.budgets.heads, holders.budgets.output
+        self.outgoing = Outgoing(output, lambda: holders.relieve_output(self))
         self._pipeline = Pipeline(
             listener.serve,
             listener.is_safe,
@@ -46,15 +46,15 @@
             self._write,
             self._release,
             self._handle_idle,
-            self.outgoing.note_waiting,
+            self.outgoing.add_waiting,
+            lambda: output.is_short,
         )
         self._meter = RequestMeter(
             listener.limits,
             listener.body_budget,
-            holders.budgets.heads,
+            self._heads,
             lambda budget, size: holders.make_room(self, budget, size),
         )
-        self._buffers = get_read_buffers()
         self._is_paused = False
         self._reset()
         self.is_discarding = False
@@ -71,7 +71,7 @@
         self._counted_bytes = 0
         self._chunk_count = 0
         self._in_body = False
-        self._is_announced = False
+        self.read_in_bulk(False)
         self._refusal_status = 0
 
     @property
@@ -136,15 +136,6 @@
         """
         return False
 
-    def get_buffer(self, _sizehint: int) -> memoryview:
-        """Return the buffer for the next read."""
-        # Only chunks and lines make a message wait for turns.
-        return self._buffers.bulk if self._is_announced else self._buffers.slice
-
-    def buffer_updated(self, size: int) -> None:
-        """Parse what was read into the buffer."""
-        self.data_received(bytes(self._buffers.bulk[:size]))
-
     def data_received(self, data: bytes) -> None:
         """Parse received data within the limits."""
         if not self.is_discarding:
@@ -196,7 +187,7 @@
         for name, value in self._headers:
             if name == b"content-length":
                 self._meter.reserve(int(value))
-                self._is_announced = True
+                self.read_in_bulk(True)
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._send_continue()
@@ -205,7 +196,7 @@
         # Behind other requests it would precede their answers; the client then sends
         # the body unasked.
         if not self.is_busy:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.outgoing.write(b"HTTP/1.1 100 Continue\r\n\r\n", b"")
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body."""
@@ -264,7 +255,7 @@
 
     def _release(self, request: Request) -> None:
         self._listener.body_budget.release(request.reserved_bytes)
-        self._listener.holders.budgets.heads.release(request.head_cost)
+        self._heads.release(request.head_cost)
 
     def _handle_idle(self) -> None:
         self.idle_since = self._listener.loop.time()
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -6,7 +6,7 @@
 
 from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
-from ..policy.clientmemory import ClientBudgets, make_control_budgets
+from ..policy.clientmemory import ClientBudgets, make_caller_budgets
 from .connection import Connection
 from .messages import Handler, Request
 from .table import Limits
@@ -24,8 +24,9 @@
 ACCEPTED_AT_ONCE = 8
 """Connections that asyncio takes from the kernel in one iteration of the loop, before
 any of them can be closed. It takes as many as the backlog that it is told of."""
-DEFAULT_DESCRIPTORS = 16_384
-"""Descriptors of a process whose listener has no budgets of its own."""
+DEFAULT_MEMORY, DEFAULT_DESCRIPTORS = 1 << 30, 1 << 20
+"""Memory and descriptors that bound a listener without budgets of its own: such a one
+is part of no node."""
 
 
 class Listener:
@@ -50,19 +51,15 @@
         self.serve = serve
         self.limits = limits
         self.on_refused = on_refused
-        self._is_safe = is_safe
+        self.is_safe = is_safe
         self.body_budget = body_budget or BodyBudget(CONTROL_BODY_BYTES)
         self.loop = asyncio.get_running_loop()
-        budgets = budgets or make_control_budgets(DEFAULT_DESCRIPTORS)
+        budgets = budgets or make_caller_budgets(DEFAULT_MEMORY, DEFAULT_DESCRIPTORS)
         self.holders = Holders(budgets, on_evicted)
         self.connections: set[Connection] = self.holders.connections
         self.is_closing = False
         self._server: asyncio.Server | None = None
 
-    def is_safe(self, request: Request) -> bool:
-        """Return whether a request may run at the same time as others now."""
-        return not self.holders.budgets.output.is_short and self._is_safe(request)
-
     async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
         family = socket.AF_INET6 if ":" in ip else socket.AF_INET
@@ -115,7 +112,7 @@
 
 
 def _check_timeouts(connection: Connection, now: float, limits: Limits) -> None:
-    if connection.outgoing.held_bytes:
+    if connection.outgoing.unread_bytes:
         connection.outgoing.refresh()
     if connection.is_busy:
         return
--- a/cactusshed/mesh/messages.py
+++ b/cactusshed/mesh/messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..policy.clientmemory import compute_head_cost
 from .upstream import Headers
 
 __all__ = ["Handler", "Request", "Response", "make_response"]
@@ -44,6 +45,11 @@
     headers: Headers = attrs.Factory(list)
     body: bytes = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory of a response that waits to be written."""
+        return compute_head_cost(len(self.headers), len(self.body))
+
 
 Handler = Callable[[Request], Awaitable[Response]]
 
--- a/cactusshed/mesh/pipeline.py
+++ b/cactusshed/mesh/pipeline.py
@@ -31,8 +31,8 @@
     keep_alive: bool
     task: asyncio.Task | None = None
     response: Response | None = None
-    is_counted: bool = False
-    """Whether the response was reported as waiting for earlier ones."""
+    waiting_bytes: int = 0
+    """Memory of a response that waits for earlier ones."""
 
 
 @attrs.define(eq=False)
@@ -49,9 +49,11 @@
     """Called with each request that gets no response."""
     on_idle: Callable[[], None]
     """Called after a response with no further request pending."""
-    note_waiting: Callable[..., None]
-    """Called with the size of each response that waits for earlier ones, and with
-    `is_waiting`: whether it begins or ends to wait."""
+    add_waiting: Callable[[int], None]
+    """Called with the memory of each response that waits for earlier ones, and with the
+    same as a negative number once it is next."""
+    is_short: Callable[[], bool]
+    """Returns whether there is too little memory for responses that wait."""
     _dispatched: deque[_Entry] = attrs.Factory(deque)
     _waiting: deque[_Entry] = attrs.Factory(deque)
     _is_ended: bool = False
@@ -131,6 +133,8 @@
             return True
         if self.is_closing() or len(self._dispatched) >= MAX_RUNNING:
             return False
+        if self.is_short():
+            return False
         return all(self.is_safe(other.request) for other in (entry, *self._dispatched))
 
     async def _run(self, entry: _Entry) -> None:
@@ -142,8 +146,8 @@
             entry.response = make_response(500)
         entry.task = None
         if self._dispatched and self._dispatched[0] is not entry:
-            entry.is_counted = True
-            self.note_waiting(len(entry.response.body), is_waiting=True)
+            entry.waiting_bytes = entry.response.held_bytes
+            self.add_waiting(entry.waiting_bytes)
         self._write_finished()
 
     def _write_finished(self) -> None:
@@ -157,8 +161,8 @@
             if not keep_alive:
                 # What waits was never dispatched; the client sends it again.
                 self._drop_waiting()
-            if entry.is_counted:
-                self.note_waiting(len(entry.response.body), is_waiting=False)
+            if entry.waiting_bytes:
+                self.add_waiting(-entry.waiting_bytes)
             self.write(entry.request, entry.response, keep_alive)
             wrote = True
         if wrote and self._waiting:
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -13,6 +13,7 @@
 from ..options import Address
 from ..parseturns import PacedReader
 from ..policy.bodybudget import BodyBudget
+from ..readbuffer import SharedBufferProtocol
 from ..requestparser import has_unknown_coding
 from ..sockets import enable_keepalive
 from .answermeter import MAX_ANSWER_BYTES, AnswerMeter, TooManyBytes
@@ -79,7 +80,7 @@
         return None
 
 
-class Upstream(asyncio.Protocol):
+class Upstream(SharedBufferProtocol):
     """One connection; `identity` names the header in which answers echo the id."""
 
     def __init__(self, identity: bytes = b"", budget: BodyBudget | None = None) -> None:
@@ -87,6 +88,7 @@
 
         `budget` limits the bodies of all answers that are being received.
         """
+        super().__init__()
         self._identity = identity
         self._budget = budget or BodyBudget(MAX_ANSWER_BYTES)
         self._meter = AnswerMeter(self._budget)
--- a/cactusshed/policy/clientmemory.py
+++ b/cactusshed/policy/clientmemory.py
@@ -37,7 +37,7 @@
 wait to be parsed."""
 CONNECTIONS_FRACTION = 0.2
 """Fraction of the process's memory for the connections of callers."""
-HEADS_FRACTION = 0.08
+HEADS_FRACTION = 0.12
 """Fraction of the process's memory for the heads of requests that are being received or
 served."""
 OUTPUT_FRACTION = 0.1
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -14,6 +14,7 @@
 from ..options import Address
 from ..parseturns import PacedReader
 from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, get_framing_limit
+from ..readbuffer import SharedBufferProtocol
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
 from ..sockets import count_unsent_bytes
@@ -41,7 +42,7 @@
             self._transport.resume_reading()
 
 
-class _Protocol(HttpToolsProtocol):
+class _Protocol(HttpToolsProtocol, SharedBufferProtocol):
     """Ignores offers of another protocol; refuses a body in a coding besides chunks.
 
     Heads and framing are bounded, and messages of many parts are parsed in turns.
@@ -50,6 +51,8 @@
     def __init__(self, *args, **kwargs) -> None:
         """Replace the parser of uvicorn's protocol."""
         super().__init__(*args, **kwargs)
+        SharedBufferProtocol.__init__(self)
+        self.read_in_bulk(False)
         self._reader = PacedReader(self._parse, lambda: not self.flow.read_paused)
         self._in_body = False
         self._received = 0
@@ -136,12 +139,15 @@
         self._in_body = True
         if has_unknown_coding(self.headers):
             raise ValueError("transfer coding is not supported")
+        # A body of known length has no chunks that wait for turns.
+        self.read_in_bulk(any(n == b"content-length" for n, _ in self.headers))
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
         """End the request, unless it is parsed again."""
         if not self.parser.has_offer:
             self._in_body = False
+            self.read_in_bulk(False)
             self._received = 0
             super().on_message_complete()
 
