--- a/cactusshed/connections/holders.py
+++ b/cactusshed/connections/holders.py
@@ -105,6 +105,7 @@
         longest unused one on. If all are in use, the new one is closed.
         """
         self.connections.add(connection)
+        self.budgets.connections = len(self.connections)
         limit = self.budgets.max_connections
         if len(self.connections) <= limit:
             return
@@ -122,13 +123,14 @@
     def discard(self, connection: "Connection") -> None:
         """Remove a closed connection."""
         self.connections.discard(connection)
+        self.budgets.connections = len(self.connections)
 
     def _evict(self, connection: "Connection", reason: str) -> None:
         self.on_evicted(reason)
         if reason == "partial":
             connection.refuse_partial()
         else:
-            self.connections.discard(connection)
+            self.discard(connection)
             connection.abort()
 
 
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -105,7 +105,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests being served and drop the waiting ones."""
-        self._listener.connections.discard(self)
+        self._listener.holders.discard(self)
         self._drop_input()
         self._pipeline.cancel()
         self.outgoing.release()
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -13,6 +13,7 @@
 from ..observe.lines import log_line
 from ..options import Address
 from ..policy.bodybudget import BodyBudget
+from ..readbuffer import SharedBufferProtocol
 from ..sockets import enable_keepalive
 from .bodyparts import PART_BYTES, PartSender, is_sent_in_parts
 from .frames import Cancel, Frame, Ping, Pong
@@ -43,7 +44,7 @@
     """The connection had ended before, so that nothing was sent."""
 
 
-class Link(asyncio.Protocol):
+class Link(SharedBufferProtocol):
     """One connection; `peer` is the other node's name once its `Hello` arrived.
 
     `takes_parts` says that the other side accepts large bodies in parts, `is_retired`
@@ -62,6 +63,7 @@
 
         Large unfinished frames count against `budget`.
         """
+        super().__init__()
         self._handle = handle
         self._on_lost = on_lost
         self._frames = FrameDecoder(budget)
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -97,9 +97,7 @@
         self._waiter: asyncio.Future | None = None
         self._reader = PacedReader(self._parse)
         self._expected = b""
-        self._is_head = False
-        self._has_head = False
-        self._must_close = False
+        self._is_head = self._has_head = self._must_close = False
         self._headers: Headers = []
         self._body = bytearray()
         self._counted_bytes = 0
--- a/cactusshed/parseturns.py
+++ b/cactusshed/parseturns.py
@@ -1,7 +1,7 @@
 """Turns in which connections parse what they have received.
 
-A connection reads up to 256 KiB at a time, which may be 44,000 chunks of a byte. It is
-parsed in slices; a message that has spent its credit waits for its turn between them,
+A connection may read 11,000 chunks of a byte at a time. What it reads is parsed in
+slices; a message that has spent its credit waits for its turn between them,
 and its connection reads nothing meanwhile.
 """
 
--- a/cactusshed/policy/clientmemory.py
+++ b/cactusshed/policy/clientmemory.py
@@ -133,6 +133,8 @@
     heads: BodyBudget
     output: OutputBudget
     max_connections: int
+    connections: int = 0
+    """Connections that are open."""
 
 
 def make_caller_budgets(memory_bytes: int, max_descriptors: int) -> ClientBudgets:
