--- a/cactusshed/connections/holders.py
+++ b/cactusshed/connections/holders.py
@@ -44,7 +44,7 @@
         Clients that don't read their answers follow, with the requests behind them.
         """
         now = self._loop.time()
-        if now < self._scan_after:
+        if now < self._scan_after or size > budget.limit:
             return
         wanted = budget.limit - size - count_evicted(budget.limit)
         partial = [
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -289,6 +289,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being served."""
         if not self.is_busy:
+            self._drop_input()
             self.outgoing.close()
 
     @property
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -64,6 +64,8 @@
         """Start to listen; raise `OSError`."""
         family = socket.AF_INET6 if ":" in ip else socket.AF_INET
         sock = socket.create_server((ip, port), family=family, backlog=backlog)
+        # asyncio sets this only on connections of sockets that it has opened itself.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             self._server = await self.loop.create_server(
                 lambda: Connection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
--- a/cactusshed/policy/clientmemory.py
+++ b/cactusshed/policy/clientmemory.py
@@ -35,9 +35,11 @@
 CONNECTION_COST_BYTES = 20 << 10
 """Memory of a connection: 11 kB of objects as measured, and one read of 8 KiB that may
 wait to be parsed."""
-CONNECTIONS_FRACTION = 0.2
-"""Fraction of the process's memory for the connections of callers."""
-HEADS_FRACTION = 0.12
+CONNECTIONS_FRACTION = 0.15
+"""Fraction of the process's memory for the connections of callers. With the fractions
+below, those for bodies (policy/bodybudget.py) and 26 MB for an idle process, all
+budgets spent at once stay within 128 MB, the memory of a host without a setting."""
+HEADS_FRACTION = 0.1
 """Fraction of the process's memory for the heads of requests that are being received or
 served."""
 OUTPUT_FRACTION = 0.1
--- a/cactusshed/readbuffer.py
+++ b/cactusshed/readbuffer.py
@@ -12,7 +12,7 @@
 
 __all__ = ["SharedBufferProtocol"]
 
-BULK_BYTES = 64 << 10
+BULK_BYTES = 128 << 10
 """Size of a read of bytes that are never kept for a later turn."""
 
 
