--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -1,9 +1,12 @@
 """HTTP/1.1 listening sockets and the timeouts of their connections."""
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterator
 
+from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
+from ..policy.clientmemory import ClientBudgets, make_caller_budgets
 from .connection import Connection
 from .messages import Handler, Request
 from .table import Limits
@@ -16,6 +19,15 @@
 """Bytes of request bodies held by a listener without a budget of its own: targets'
 announcements, probes and metrics have small bodies or none."""
 
+BACKLOG = 1024
+"""Connections that the kernel accepts for the listener."""
+ACCEPTED_AT_ONCE = 8
+"""Connections that asyncio takes from the kernel in one iteration of the loop, before
+any of them can be closed. It takes as many as the backlog that it is told of."""
+DEFAULT_MEMORY, DEFAULT_DESCRIPTORS = 1 << 30, 1 << 20
+"""Memory and descriptors that bound a listener without budgets of its own: such a one
+is part of no node."""
+
 
 class Listener:
     """A listening socket and its connections."""
@@ -27,11 +39,14 @@
         on_refused: Callable[[int], None],
         is_safe: Callable[[Request], bool] = lambda _request: False,
         body_budget: BodyBudget | None = None,
+        budgets: ClientBudgets | None = None,
+        on_evicted: Callable[[str], None] = lambda _reason: None,
     ) -> None:
         """Create a listener that is not open yet.
 
         `on_refused` is called with the status of each refused request. Requests of
         one connection run at the same time if `is_safe` returns true for them.
+        `on_evicted` is called with the reason for each client that gives way to others.
         """
         self.serve = serve
         self.limits = limits
@@ -39,15 +54,27 @@
         self.is_safe = is_safe
         self.body_budget = body_budget or BodyBudget(CONTROL_BODY_BYTES)
         self.loop = asyncio.get_running_loop()
-        self.connections: set[Connection] = set()
+        budgets = budgets or make_caller_budgets(DEFAULT_MEMORY, DEFAULT_DESCRIPTORS)
+        self.holders = Holders(budgets, on_evicted)
+        self.connections: set[Connection] = self.holders.connections
         self.is_closing = False
         self._server: asyncio.Server | None = None
 
-    async def open(self, ip: str, port: int, backlog: int = 1024) -> None:
+    async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
-        self._server = await self.loop.create_server(
-            lambda: Connection(self), ip, port, backlog=backlog
-        )
+        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+        sock = socket.create_server((ip, port), family=family, backlog=backlog)
+        # asyncio sets this only on connections of sockets that it has opened itself.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            self._server = await self.loop.create_server(
+                lambda: Connection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
+            )
+        except BaseException:
+            sock.close()
+            raise
+        # asyncio has set the kernel's backlog to what it takes at once.
+        sock.listen(backlog)
 
     async def sweep(self) -> None:
         """Time out slow requests and close idle connections until cancelled."""
@@ -87,6 +114,8 @@
 
 
 def _check_timeouts(connection: Connection, now: float, limits: Limits) -> None:
+    if connection.outgoing.unread_bytes:
+        connection.outgoing.refresh()
     if connection.is_busy:
         return
     if connection.request_started is not None:
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import resource
 import socket
 import struct
 import sys
@@ -12,6 +13,7 @@
     "count_unsent_bytes",
     "discard_unsent",
     "enable_keepalive",
+    "read_descriptor_limit",
 ]
 
 KEEPALIVE_IDLE_SECONDS = 1
@@ -74,3 +76,9 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     milliseconds = max(1, int(after_seconds * 1000))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def read_descriptor_limit() -> int:
+    """Return how many descriptors this process may have open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if limit == resource.RLIM_INFINITY else limit
