--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -126,7 +126,7 @@
         report = on_silent and self._make_report(call, deadline, started, on_silent)
         sent = SentRequest(call.route, started, deadline, report)
         self.silence.add(sent)
-        is_counted = self.usage is not None and call.tenant != ""
+        is_counted = self._counts_as_usage(call)
         counts_key = self.usage.start(call.tenant) if is_counted else 0
         was_refused = False
         try:
@@ -163,6 +163,10 @@
             self._learn_limit(ticket, read_monotonic())
         return result, answer
 
+    def _counts_as_usage(self, call: Call) -> bool:
+        """Return whether a call is reported: calls that targets make are not."""
+        return self.usage is not None and call.tenant != "" and not call.is_nested
+
     def _learn_limit(self, ticket: Ticket, now: float) -> None:
         pace = self.notices.host_pace.current
         if pace and not self.cold.is_cold(now):
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -105,6 +105,19 @@
     assert_that(run_async(work), Equals({200: {"pulo": 0}}))
 
 
+def test_calls_made_by_targets_are_not_counted():
+    """A request must not be reported again for each call that it makes."""
+
+    async def work():
+        counter, _ = make_counter()
+        async with open_gate() as opened:
+            opened.gate.exchange.usage = counter
+            await opened.gate.run(make_call(tenant="pulo", is_nested=True))
+        return counter.windows
+
+    assert_that(run_async(work), Equals({}))
+
+
 def test_calls_without_an_organisation_are_not_counted():
     """Guards against an entry without a name in the reports."""
 
