--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -10,11 +10,11 @@
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..platform import headers as header_names
-from ..policy.admissionqueue import Ticket
 from ..policy.coldstart import ColdStartGuard
 from ..policy.concurrency import ConcurrencyLimit
 from ..policy.quarantine import Quarantine
 from ..policy.silence import SentRequest, SilenceDetector
+from ..policy.tickets import Ticket
 from .crashes import CrashTracker, RunningCall, make_fingerprint
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
 from .notices import TargetNotices
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -8,14 +8,12 @@
 
 from ..decoding import Count, FiniteNumber
 from ..tenants.change import TenantsChange
+from ..usage.frames import UsageHolder, UsageReceipt, UsageTotals
 
 __all__ = [
     "ANSWERED",
     "NOT_RUN",
     "UNKNOWN",
-    "UsageHolder",
-    "UsageReceipt",
-    "UsageTotals",
     "BodyPart",
     "Call",
     "Cancel",
@@ -288,44 +286,6 @@
     version: int
 
 
-class UsageHolder(msgspec.Struct, array_like=True, tag=17):
-    """State of the row of the usage duty, sent by the holder after each renewal."""
-
-    holder: str
-    token: Count
-    version: Count
-    """Version of the row; the lease of a version ends a fixed time after its write."""
-    first: Count
-    """First window whose counts are not fixed in the store."""
-    standby: str = ""
-    """Node that gets the counts too, in case the holder dies; unknown if empty."""
-    time_ms: Count = 0
-    """Time that most nodes agree on, since 1970; 0 if unknown."""
-
-
-class UsageTotals(msgspec.Struct, array_like=True, tag=18):
-    """The calls that began at one node, by window and organisation, so far.
-
-    Windows without changes since the last message over the link are left out.
-    """
-
-    node: str
-    start_time: Count
-    sequence: Count
-    windows: dict[int, dict[str, Count]]
-    until_ms: Count = 0
-    """Time up to which the counts are complete; 0 if unknown or sent by another."""
-    time_ms: Count = 0
-    """Time by the sender's own clock; 0 if the totals are those of another node."""
-    wants_receipt: bool = False
-
-
-class UsageReceipt(msgspec.Struct, array_like=True, tag=19):
-    """Confirms the totals with this number, which a stopping node has sent."""
-
-    sequence: Count
-
-
 Frame = (
     Hello
     | BodyPart
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -12,12 +12,13 @@
 from ..clock import read_monotonic
 from ..observe.counters import Counters
 from ..observe.lines import log_line
-from ..policy.admissionqueue import AdmissionQueue, Ticket, TicketState
+from ..policy.admissionqueue import AdmissionQueue
 from ..policy.backpressure import RouteBackpressure
 from ..policy.coldstart import ColdStartGuard, TokenBucket
 from ..policy.gateretries import GateRetryBudget
 from ..policy.quarantine import Quarantine
 from ..policy.startlimits import StartLimit, StartLimits, combine_buckets
+from ..policy.tickets import Ticket, TicketState
 from ..policy.uplink import Uplink
 from .crashes import CrashTracker, make_fingerprint
 from .exchange import MIN_FAILURE_STATUS, OnSilent, TargetExchange
--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -12,7 +12,6 @@
 
 from ..clock import read_monotonic
 from ..errors import AnswerLost, CactusError, ConditionFailed
-from ..mesh.frames import UsageHolder
 from ..mesh.member import Member
 from ..nodesettings import UsageSettings
 from ..observe.counters import Counters
@@ -29,6 +28,7 @@
 from ..policy.usagewindows import MAX_KEPT_WINDOWS, WindowTotals, find_final_windows
 from ..store.lease import Lease
 from .dutyrow import DUTY_KEY, DutyRow, read_duty, write_duty
+from .frames import UsageHolder
 
 __all__ = ["UsageDuty"]
 
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..clock import read_boottime, read_wall
-from ..mesh.frames import Frame, UsageHolder, UsageReceipt, UsageTotals
+from ..mesh.frames import Frame
 from ..mesh.member import Member
 from ..mesh.peers import Peers
 from ..mesh.upstream import Upstream
@@ -20,6 +20,7 @@
 from ..store.httpcalls import HttpCalls
 from .counting import UsageCounter
 from .duty import UsageDuty
+from .frames import UsageHolder, UsageReceipt, UsageTotals
 from .sending import ReportSender, SendReport
 
 __all__ = ["UsageReporter", "open_reporter"]
--- a/tests/test_admissionqueue.py
+++ b/tests/test_admissionqueue.py
@@ -6,8 +6,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from cactusshed.policy.admissionqueue import AdmissionQueue, Ticket, TicketState
+from cactusshed.policy.admissionqueue import AdmissionQueue
 from cactusshed.policy.startlimits import StartLimit, StartLimits
+from cactusshed.policy.tickets import Ticket, TicketState
 
 SERVICE_SECONDS = 0.1
 SOFT_TIMEOUT_SECONDS = 0.3
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -11,10 +11,11 @@
 from cactusshed.mesh.bodyparts import PART_BYTES, BodyAssembler, PartSender
 from cactusshed.mesh.frames import BodyPart, Load, Result
 from cactusshed.mesh.framing import FrameDecoder
-from cactusshed.policy.admissionqueue import AdmissionQueue, Ticket, TicketState
+from cactusshed.policy.admissionqueue import AdmissionQueue
 from cactusshed.policy.bodybudget import BodyBudget
 from cactusshed.policy.placement import Candidate, LoadView, order_candidates
 from cactusshed.policy.startlimits import StartLimits
+from cactusshed.policy.tickets import Ticket, TicketState
 from cactusshed.policy.uplink import (
     BULK_BYTES,
     BURST_BYTES,
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -13,7 +13,6 @@
 from cactusshed.clock import read_boottime
 from cactusshed.errors import AnswerLost, LeaseLost
 from cactusshed.mesh.exchange import TargetExchange
-from cactusshed.mesh.frames import UsageHolder, UsageReceipt, UsageTotals
 from cactusshed.mesh.framing import FrameDecoder, encode_frame
 from cactusshed.mesh.inbound import Inbound
 from cactusshed.nodesettings import UsageSettings
@@ -26,6 +25,7 @@
 from cactusshed.policy.usagewindows import WindowTotals, find_final_windows
 from cactusshed.store.httpcalls import HttpCalls
 from cactusshed.usage.counting import UsageCounter
+from cactusshed.usage.frames import UsageHolder, UsageReceipt, UsageTotals
 from cactusshed.usage.reporter import open_reporter
 from standins.meshfleet import MeshFleet, make_document, wait_for
 from standins.ports import choose_port
