Compute the parts of the placement risk in a function of their own

The explanation of a choice needs the parts; the choice must use the same formula. Same order and same use of the random generator over 200 selections among 60 candidates; a selection took 55.2 to 55.6 us before and 56.3 to 56.8 us after.

--- a/cactusshed/policy/placement.py
+++ b/cactusshed/policy/placement.py
@@ -10,14 +10,19 @@
 
 import random
 from collections.abc import Iterable
+from operator import itemgetter
+from typing import NamedTuple
 
 import attrs
 
 from .hostpace import HostPace
 
 __all__ = [
+    "RISK_JITTER",
     "Candidate",
     "LoadView",
+    "RiskParts",
+    "assess_candidates",
     "estimate_late_probability",
     "estimate_transfer_seconds",
     "order_candidates",
@@ -169,25 +174,44 @@
     return 1.0 / (1.0 + (time_left / max(service_time, 1e-6)) ** STEEPNESS)
 
 
-def order_candidates(
-    candidates: Iterable[Candidate],
-    baseline_latency: float,
-    time_left: float,
-    now: float,
-    rng: random.Random,
-) -> list[tuple[float, Candidate]]:
-    """Return (expected wait, candidate) pairs by increasing risk of a late answer.
+_get_risk = itemgetter(0)
+
+
+class RiskParts(NamedTuple):
+    """Risk of a late answer at one target and its parts; the times are in seconds.
+
+    The risk is the sum of the four parts that follow it, without its random increase.
+    """
+
+    risk: float
+    late: float
+    """Probability that the answer is late or that the call fails."""
+    far: float
+    cold: float
+    delay: float
+    """Part for the wait and the transfer, which breaks ties if all would be late."""
+    wait: float
+    """Expected time until the call would start."""
+    service_time: float
+    """Expected service time of the call."""
+
+
+def assess_candidates(
+    options: list[Candidate], baseline_latency: float, time_left: float, now: float
+) -> list[tuple]:
+    """Return the fields of `RiskParts` for each candidate; no state is changed.
+
+    They are plain tuples, since this is done for every request.
 
     `baseline_latency` is the mean service time of the route over all targets and
     `time_left` the time until the soft deadline, both in seconds.
     """
-    options = list(candidates)
     means = [c.view.mean_seconds for c in options if c.view.mean_seconds]
     average_latency = sum(means) / len(means) if means else 1.0
     paces = [c.view.host_pace.estimate(now) for c in options]
     known_paces = [pace for pace in paces if pace]
     average_pace = sum(known_paces) / len(known_paces) if known_paces else 1.0
-    scored = []
+    assessed = []
     for candidate, pace in zip(options, paces, strict=True):
         view = candidate.view
         if pace:
@@ -201,15 +225,35 @@
         if candidate.start_rate:
             wait = max(wait, view.estimate_start_wait(now, candidate.start_rate))
         delay = wait + candidate.transfer_seconds
-        risk = estimate_late_probability(time_left - delay, service_time)
-        risk = 1 - (1 - risk) * (1 - view.failure_rate)
+        late = estimate_late_probability(time_left - delay, service_time)
+        late = 1 - (1 - late) * (1 - view.failure_rate)
+        far = 0.0
         if candidate.is_far:
-            far_risk = FAR_RISK + FAR_RISK_PER_KIB * candidate.body_bytes / 1024
-            risk += min(MAX_FAR_RISK, far_risk)
-        risk += COLD_RISK * candidate.is_cold
-        # The wait breaks ties if every target would be late.
-        risk += delay / (time_left + delay) if time_left > 0 else delay
-        risk *= 1 + RISK_JITTER * rng.random()
-        scored.append((risk, wait, candidate))
-    scored.sort(key=lambda entry: entry[0])
+            far = FAR_RISK + FAR_RISK_PER_KIB * candidate.body_bytes / 1024
+            far = min(MAX_FAR_RISK, far)
+        cold = COLD_RISK if candidate.is_cold else 0.0
+        delay_risk = delay / (time_left + delay) if time_left > 0 else delay
+        risk = late + far + cold + delay_risk
+        assessed.append((risk, late, far, cold, delay_risk, wait, service_time))
+    return assessed
+
+
+def order_candidates(
+    candidates: Iterable[Candidate],
+    baseline_latency: float,
+    time_left: float,
+    now: float,
+    rng: random.Random,
+) -> list[tuple[float, Candidate]]:
+    """Return (expected wait, candidate) pairs by increasing risk of a late answer.
+
+    For the parameters see `assess_candidates`.
+    """
+    options = list(candidates)
+    assessed = assess_candidates(options, baseline_latency, time_left, now)
+    scored = [
+        (parts[0] * (1 + RISK_JITTER * rng.random()), parts[5], candidate)
+        for parts, candidate in zip(assessed, options, strict=True)
+    ]
+    scored.sort(key=_get_risk)
     return [(wait, candidate) for _, wait, candidate in scored]
