Explain where a node would send a request

A node answers GET /explain on its metrics address with the route, the split, the versions in use and the targets in the order in which they would be tried, with the parts of their risk. It reads copies of what reading the load would change. cactusshedctl explain-route prints it. No tests yet.

--- a/cactusshed/control.py
+++ b/cactusshed/control.py
@@ -27,6 +27,7 @@
     render_status,
     render_tree,
 )
+from .tool.routes import explain_route
 from .tool.session import (
     Session,
     author_option,
@@ -240,7 +241,7 @@
         time.sleep(every)
 
 
-for _command in (*COMMANDS, emulate, explain_request):
+for _command in (*COMMANDS, emulate, explain_request, explain_route):
     main.add_command(_command)
 
 
--- /dev/null
+++ b/cactusshed/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explanation of where a node would send a request now, without sending it."""
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -134,12 +134,8 @@
         return self._respond(plan, route, outcome, request)
 
     def _find_route(self, request: Request) -> Route | None:
-        host = (request.find(b"host") or b"").decode("latin-1").lower()
-        name, _, port = host.rpartition(":")
-        if port.isdigit():
-            host = name
-        path = request.path.partition(b"?")[0].decode("latin-1")
-        return self.records.table.find_route(host, path)
+        host = request.find(b"host") or b""
+        return self.records.table.match_request(host, request.path)
 
     def _decide_tenancy(
         self, request: Request, route: Route, parent: RunningCall | None
--- a/cactusshed/mesh/candidates.py
+++ b/cactusshed/mesh/candidates.py
@@ -23,7 +23,7 @@
     peers: Peers
     gate: Gate
     is_evacuated: Callable[[str], bool]
-    _local_view: LoadView = attrs.Factory(LoadView)
+    local_view: LoadView = attrs.Factory(LoadView)
 
     def list_open(
         self, service: str, version: str, body_bytes: int, answer_bytes: int = 0
@@ -42,24 +42,53 @@
     def _list_members(self, service: str, version: str) -> Iterator[Member]:
         now = read_monotonic()
         for member in self.peers.list_connected(service):
-            state = member.state
-            if not state.is_open or now >= member.accepts_until:
-                continue
-            if self.is_evacuated(member.data_centre):
-                continue
-            if not version or state.version == version:
+            if not self.find_obstacle(member, version, now):
                 yield member
 
-    def _make_local(self, service: str, version: str) -> Candidate | None:
+    def find_obstacle(self, member: Member, version: str, now: float) -> str:
+        """Return why a node's target gets no calls for `version`; empty if it does."""
+        state = member.state
+        if not member.is_up:
+            return "link-down"
+        if self.is_evacuated(member.data_centre):
+            return "evacuated"
+        if now >= member.accepts_until:
+            return "leaving"
+        if not state.is_open:
+            return "leaving" if state.leave_acknowledged else "closed"
+        if version and state.version != version:
+            return "other-version"
+        return ""
+
+    def find_local_obstacle(self, version: str) -> str:
+        """Return why the local target gets no calls for `version`; empty if it does."""
         gate = self.gate
-        if service != gate.service or not gate.is_open:
-            return None
+        if not gate.is_open:
+            return next(iter(gate.close_reasons))
         if version and version != gate.version:
+            return "other-version"
+        return ""
+
+    def _make_local(self, service: str, version: str) -> Candidate | None:
+        gate = self.gate
+        if service != gate.service or self.find_local_obstacle(version):
             return None
-        load = gate.get_load()
         now = read_monotonic()
+        self.refresh_local_view(now)
+        return Candidate(
+            self.node,
+            self.local_view,
+            False,
+            gate.cold.is_cold(now),
+            self.local_view.transfer_seconds,
+            start_rate=gate.notices.rate_limit.rate or 0.0,
+        )
+
+    def refresh_local_view(self, now: float) -> None:
+        """Store the present load of the local gate."""
+        load = self.gate.get_load()
         busy = load.running + load.waiting
-        self._local_view.report(
+        self.local_view.report(
             busy,
             load.limit,
             load.mean_service_ms / 1000,
@@ -68,14 +97,6 @@
             load.transfer_ms / 1000,
             load.host_pace,
         )
-        return Candidate(
-            self.node,
-            self._local_view,
-            False,
-            gate.cold.is_cold(now),
-            self._local_view.transfer_seconds,
-            start_rate=gate.notices.rate_limit.rate or 0.0,
-        )
 
     def _make_remote(
         self, member: Member, body_bytes: int, answer_bytes: int
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -93,6 +93,13 @@
         state.full_gates = 0
         return True
 
+    def get_baseline_latency(self, route: str, soft_timeout_ms: int) -> float:
+        """Return the mean latency of a route in seconds.
+
+        Without a measured latency, assume a third of the soft timeout.
+        """
+        return self.baseline_latency.get(route, soft_timeout_ms / 3000)
+
     def _choose(
         self, plan: CallPlan, state: DispatchState
     ) -> tuple[Candidate, Member | None] | None:
@@ -101,9 +108,8 @@
         The node is `None` for the local target.
         """
         now = read_monotonic()
-        # Without a measured latency, assume a third of the soft timeout.
-        baseline_latency = self.baseline_latency.get(
-            plan.call.route, plan.call.soft_timeout_ms / 3000
+        baseline_latency = self.get_baseline_latency(
+            plan.call.route, plan.call.soft_timeout_ms
         )
         members = {
             candidate.name: (candidate, member)
--- a/cactusshed/mesh/probes.py
+++ b/cactusshed/mesh/probes.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..clock import read_monotonic
+from ..explain.answers import serve_explanation
 from ..observe.lines import get_log
 from ..observe.page import render_page
 from .messages import Request, Response, make_response
@@ -16,6 +17,7 @@
 
 READY_PATH = b"/cactusshed/readyz"
 METRICS_PATH = b"/metrics"
+EXPLAIN_PATH = b"/explain"
 
 
 @attrs.define
@@ -33,7 +35,9 @@
         return make_response(404)
 
     async def serve_metrics(self, request: Request) -> Response:
-        """Return the page of metrics."""
+        """Return the page of metrics, or the explanation of a choice."""
+        if request.path.partition(b"?")[0] == EXPLAIN_PATH:
+            return serve_explanation(self.sidecar.caller_handler, request)
         if request.path != METRICS_PATH:
             return make_response(404)
         node = self.sidecar
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -135,6 +135,7 @@
         self.moves: Moves | None = None
         self.move_controller: MoveController | None = None
         self.relay: Relay | None = None
+        self.caller_handler: CallerHandler | None = None
 
     # Callbacks between the parts.
 
@@ -280,7 +281,7 @@
             self.gate,
             self.counters,
         )
-        caller_handler = CallerHandler(
+        self.caller_handler = CallerHandler(
             self.records,
             dispatcher,
             self.counters,
@@ -297,7 +298,7 @@
             self.request_budget,
             self.scheduler,
         )
-        listeners = await self._open_listeners(caller_handler)
+        listeners = await self._open_listeners(self.caller_handler)
         tasks = [
             asyncio.create_task(keep_running(work, self.counters))
             for work in self._list_tasks(listeners)
--- a/cactusshed/mesh/table.py
+++ b/cactusshed/mesh/table.py
@@ -79,6 +79,15 @@
     tenants: Tenants | None = None
     """`None` if the configuration has none: requests then need no key."""
 
+    def match_request(self, host: bytes, target: bytes) -> Route | None:
+        """Return the route of a request with this host header and request target."""
+        host_name = host.decode("latin-1").lower()
+        name, _, port = host_name.rpartition(":")
+        if port.isdigit():
+            host_name = name
+        path = target.partition(b"?")[0].decode("latin-1")
+        return self.find_route(host_name, path)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`, if any."""
         prefixes = self.routes.get(host)
--- a/cactusshed/policy/rollout.py
+++ b/cactusshed/policy/rollout.py
@@ -24,6 +24,7 @@
     "advance_move",
     "choose_version",
     "compute_share",
+    "compute_version_shares",
 ]
 
 RUNNING = "running"
@@ -172,3 +173,16 @@
     if move.state in (CLOSING, COMPLETE):
         return move.to
     return move.to if rng.random() < compute_share(move, elapsed) else move.source
+
+
+def compute_version_shares(move: Move, elapsed: float) -> dict[str, float]:
+    """Return the versions in use `elapsed` seconds after the order, and their shares.
+
+    `choose_version` chooses among them at random.
+    """
+    if move.state == REVERTED:
+        return {move.source: 1.0}
+    if move.state in (CLOSING, COMPLETE):
+        return {move.to: 1.0}
+    share = compute_share(move, elapsed)
+    return {move.to: share, move.source: 1.0 - share}
