--- a/cactusshed/tool/session.py
+++ b/cactusshed/tool/session.py
@@ -57,7 +57,7 @@
 
     def send_request(self, method: str, path: str, answer_type, body: object = None):
         """Send a request and return the response decoded as `answer_type`."""
-        headers = {"authorization": f"Bearer {self.token}"}
+        headers = {"authorization": f"Bearer {self.token}"} if self.token else {}
         content = None if body is None else msgspec.json.encode(body)
         timeout = dict.fromkeys(("connect", "read", "write"), REQUEST_SECONDS)
         try:
