--- a/cactusshed/explain/targets.py
+++ b/cactusshed/explain/targets.py
@@ -98,7 +98,9 @@
             candidates.refresh_local_view(now)
             view = candidates.local_view
         else:
-            obstacle = candidates.find_obstacle(member, version, now)
+            obstacle = "link-down"
+            if member.is_up:
+                obstacle = candidates.find_obstacle(member, version, now)
             view = member.view
         if obstacle:
             yield ExplainedTarget(
--- a/cactusshed/mesh/candidates.py
+++ b/cactusshed/mesh/candidates.py
@@ -46,10 +46,11 @@
                 yield member
 
     def find_obstacle(self, member: Member, version: str, now: float) -> str:
-        """Return why a node's target gets no calls for `version`; empty if it does."""
+        """Return why the target of a connected node gets no calls for `version`.
+
+        The reason is empty if it does.
+        """
         state = member.state
-        if not member.is_up:
-            return "link-down"
         if self.is_evacuated(member.data_centre):
             return "evacuated"
         if now >= member.accepts_until:
--- a/cactusshed/policy/placement.py
+++ b/cactusshed/policy/placement.py
@@ -230,7 +230,8 @@
         far = 0.0
         if candidate.is_far:
             far = FAR_RISK + FAR_RISK_PER_KIB * candidate.body_bytes / 1024
-            far = min(MAX_FAR_RISK, far)
+            if far > MAX_FAR_RISK:
+                far = MAX_FAR_RISK
         cold = COLD_RISK if candidate.is_cold else 0.0
         delay_risk = delay / (time_left + delay) if time_left > 0 else delay
         risk = late + far + cold + delay_risk
@@ -251,8 +252,9 @@
     """
     options = list(candidates)
     assessed = assess_candidates(options, baseline_latency, time_left, now)
+    draw = rng.random
     scored = [
-        (parts[0] * (1 + RISK_JITTER * rng.random()), parts[5], candidate)
+        (parts[0] * (1 + RISK_JITTER * draw()), parts[5], candidate)
         for parts, candidate in zip(assessed, options, strict=True)
     ]
     scored.sort(key=_get_risk)
--- a/cactusshed/tool/routetable.py
+++ b/cactusshed/tool/routetable.py
@@ -64,10 +64,11 @@
         f"{route.max_attempts}, priority {route.priority}"
     )
     yield f"tenants: {_describe_tenants(answer)}"
-    yield (
-        f"mean latency of the route {answer.baseline_latency * 1000:.0f} ms, time left "
-        f"{answer.time_left * 1000:.0f} ms"
-    )
+    latency = "not measured yet"
+    if answer.baseline_latency:
+        latency = f"{answer.baseline_latency * 1000:.1f} ms"
+    time_left = f"{answer.time_left * 1000:.0f} ms"
+    yield f"mean latency of the route {latency}, time left {time_left}"
     for service in answer.services:
         yield from _list_service_lines(service)
     yield from LEGEND
--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -116,8 +116,8 @@
 def test_explaining_changes_nothing():
     """A real request after it would otherwise see other loads or random numbers.
 
-    The state is such that reading the gate's load changes it: a rate limit and a link
-    whose tokens are due, and calls sent since the last report.
+    The state is such that reading the gate's load changes it: a rate limit, a cold
+    target and a link whose tokens are due, and calls sent since the last report.
     """
 
     async def work():
@@ -126,6 +126,7 @@
             gate = node.sidecar.gate
             gate.notices.rate_limit.set_rate(20.0, 0.0)
             gate.notices.host_pace.note(1.5, 0.0)
+            gate.cold.suspect_restart(0.0)
             gate.uplink.committed = 10_000
             gate.uplink.charge(90_000)
             candidates = node.sidecar.caller_handler.dispatcher.candidates
