--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -152,6 +152,7 @@
         self.move_controller: MoveController | None = None
         self.relay: Relay | None = None
         self.usage: UsageReporter | None = None
+        self.caller_handler: CallerHandler | None = None
 
     # Callbacks between the parts.
 
@@ -291,7 +292,7 @@
             lambda data_centre: data_centre in self.records.evacuated,
         )
         dispatcher = Dispatcher(candidates, self.peers, self.gate, self.counters)
-        caller_handler = CallerHandler(
+        self.caller_handler = CallerHandler(
             self.records,
             dispatcher,
             self.counters,
@@ -308,7 +309,7 @@
             self.request_budget,
             self.scheduler,
         )
-        listeners = await self._open_listeners(caller_handler)
+        listeners = await self._open_listeners(self.caller_handler)
         tasks = [
             asyncio.create_task(keep_running(work, self.counters))
             for work in self._list_tasks(listeners)
