--- a/cactusshed/mesh/candidates.py
+++ b/cactusshed/mesh/candidates.py
@@ -6,11 +6,12 @@
 
 from ..clock import read_monotonic
 from ..policy.placement import Candidate, LoadView, estimate_transfer_seconds
+from .frames import Load
 from .gate import Gate
 from .member import Member
 from .peers import Peers
 
-__all__ = ["Candidates"]
+__all__ = ["Candidates", "store_report"]
 
 
 @attrs.define
@@ -35,7 +36,7 @@
         """
         for member in self._list_members(service, version):
             yield self._make_remote(member, body_bytes, answer_bytes), member
-        local = self._make_local(service, version)
+        local = self._make_local(service, version, answer_bytes)
         if local is not None:
             yield local, None
 
@@ -70,7 +71,9 @@
             return "other-version"
         return ""
 
-    def _make_local(self, service: str, version: str) -> Candidate | None:
+    def _make_local(
+        self, service: str, version: str, answer_bytes: int
+    ) -> Candidate | None:
         gate = self.gate
         if service != gate.service or self.find_local_obstacle(version):
             return None
@@ -81,23 +84,13 @@
             self.local_view,
             False,
             gate.cold.is_cold(now),
-            self.local_view.transfer_seconds,
+            self.local_view.transfer_seconds if answer_bytes else 0.0,
             start_rate=gate.notices.rate_limit.rate or 0.0,
         )
 
     def refresh_local_view(self, now: float) -> None:
         """Store the present load of the local gate."""
-        load = self.gate.get_load()
-        busy = load.running + load.waiting
-        self.local_view.report(
-            busy,
-            load.limit,
-            load.mean_service_ms / 1000,
-            now,
-            load.starts_left,
-            load.transfer_ms / 1000,
-            load.host_pace,
-        )
+        store_report(self.local_view, self.gate.get_load(), now)
 
     def _make_remote(
         self, member: Member, body_bytes: int, answer_bytes: int
@@ -118,3 +111,16 @@
             body_bytes + answer_bytes,
             member.state.rate_limit,
         )
+
+
+def store_report(view: LoadView, load: Load, now: float) -> None:
+    """Store the load that a gate reported at monotonic time `now`."""
+    view.report(
+        load.running + load.waiting,
+        load.limit,
+        load.mean_service_ms / 1000,
+        now,
+        load.starts_left,
+        load.transfer_ms / 1000,
+        load.host_pace,
+    )
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -12,7 +12,7 @@
 from ..policy.placement import Candidate, LoadView, order_candidates
 from ..policy.uplink import AnswerSizes
 from .callplan import CallPlan, DispatchState, Outcome
-from .candidates import Candidates
+from .candidates import Candidates, store_report
 from .exchange import TARGET_SILENT, is_success
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Result
 from .gate import Gate
@@ -171,17 +171,7 @@
             view.in_flight -= 1
         now = read_monotonic()
         if result.load is not EMPTY_LOAD:
-            load = result.load
-            busy = load.running + load.waiting
-            view.report(
-                busy,
-                load.limit,
-                load.mean_service_ms / 1000,
-                now,
-                load.starts_left,
-                load.transfer_ms / 1000,
-                load.host_pace,
-            )
+            store_report(view, result.load, now)
         self._update_statistics(call, view, result, now - started)
         return result
 
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan
 
 from cactusshed.mesh.bodyparts import PART_BYTES, BodyAssembler, PartSender
+from cactusshed.mesh.candidates import Candidates
 from cactusshed.mesh.frames import BodyPart, Load, Result
 from cactusshed.mesh.framing import FrameDecoder
 from cactusshed.policy.admissionqueue import AdmissionQueue
@@ -25,7 +26,7 @@
 )
 from cactusshed.uplink.scheduler import UplinkScheduler
 
-from .meshes import run_async
+from .meshes import open_gate, run_async
 
 RATE = 100_000.0
 """Rate of the link in bytes a second; a 90 KB answer takes nearly a second."""
@@ -262,3 +263,34 @@
 def test_bulk_bound_is_above_the_answers_of_other_routes():
     """Routes whose largest answer is 30,000 bytes must never be paced."""
     assert_that(BULK_BYTES, GreaterThan(30_000))
+
+
+def test_small_request_to_the_local_target_ignores_the_link():
+    """A busy link must not send small requests away from the own host's target."""
+
+    async def work():
+        async with open_gate() as opened:
+            gate = opened.gate
+            gate.uplink = Uplink(RATE)
+            gate.uplink.sizes.note("large", LARGE)
+            gate.uplink.accept("large")
+            candidates = Candidates(
+                "n", "d", 5.5, FakePeers(), gate, lambda _data_centre: False
+            )
+            return [
+                candidate.transfer_seconds
+                for answer_bytes in (0, LARGE)
+                for candidate, _ in candidates.list_open("s", "", 0, answer_bytes)
+            ]
+
+    small, large = run_async(work)
+    assert_that(small, Equals(0.0))
+    assert_that(large, GreaterThan(0.8))
+
+
+class FakePeers:
+    """A node without peers."""
+
+    def list_connected(self, _service):
+        """Return no members."""
+        return []
