A tenant without a priority has that of its routes; needless code removed

A configuration whose tenants have no priority was refused whole, so that its keys and routes did not come into force. The field may be absent now, also between nodes; a wrong value is an error as before. The cases of wrong values keep theirs but for the absent one, which has a test of its own. make_output_budget had no caller.

--- a/cactusshed/platform/document.py
+++ b/cactusshed/platform/document.py
@@ -129,7 +129,8 @@
     keys = read_list(entry, "api_keys", is_required=True)
     texts = (check_header_value("api_keys", key) for key in keys)
     digests = frozenset(digest_key(text.encode()) for text in texts)
-    return Tenant(name, read_int(entry, "priority"), digests)
+    priority = read_int(entry, "priority") if "priority" in entry else None
+    return Tenant(name, priority, digests)
 
 
 def _read_limits(limits: dict) -> Limits:
--- a/cactusshed/policy/clientmemory.py
+++ b/cactusshed/policy/clientmemory.py
@@ -123,11 +123,6 @@
             yield holder
 
 
-def make_output_budget(memory_bytes: int) -> OutputBudget:
-    """Return the budget of a process with that memory."""
-    return OutputBudget(int(OUTPUT_FRACTION * memory_bytes))
-
-
 @attrs.define(eq=False)
 class ClientBudgets:
     """What the clients of one listener may hold besides bodies."""
--- a/cactusshed/policy/tenancy.py
+++ b/cactusshed/policy/tenancy.py
@@ -57,7 +57,10 @@
     if not has_tenants:
         return Decision(*origin.parent) if origin.parent is not None else anonymous
     if origin.owner is not None:
-        return Decision(origin.owner.name, origin.owner.priority)
+        priority = origin.owner.priority
+        return Decision(
+            origin.owner.name, route_priority if priority is None else priority
+        )
     if origin.parent is not None and not origin.has_key:
         return Decision(*origin.parent)
     if is_public:
--- a/cactusshed/tenants/change.py
+++ b/cactusshed/tenants/change.py
@@ -18,7 +18,7 @@
 class TenantsChange(msgspec.Struct, array_like=True):
     """Tenants that differ from those of the base, or all of them."""
 
-    present: list[tuple[str, Count, list[bytes]]]
+    present: list[tuple[str, Count | None, list[bytes]]]
     """Name, priority and digests of keys."""
     removed: list[str] = []
     is_complete: bool = False
--- a/cactusshed/tenants/directory.py
+++ b/cactusshed/tenants/directory.py
@@ -32,7 +32,8 @@
     """One organisation; its requests of `priority` 0 are served first."""
 
     name: str
-    priority: int
+    priority: int | None
+    """`None` if its requests have the priority of their routes."""
     digests: frozenset[bytes]
     """Digests of its keys."""
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -25,7 +25,7 @@
 from cactusshed.policy.quarantine import Quarantine
 from cactusshed.policy.tenancy import Decision, Origin, Refusal, decide_tenancy
 from cactusshed.tenants import directory
-from cactusshed.tenants.change import TenantsChange
+from cactusshed.tenants.change import TenantsChange, decode_tenants, encode_tenants
 from cactusshed.tenants.counts import MAX_TENANTS, TenantCounts
 from cactusshed.tenants.directory import Tenant, build_tenants, digest_key
 from cactusshed.tenants.origin import read_origin
@@ -110,6 +110,18 @@
 ]
 
 
+def test_tenant_without_a_priority_has_that_of_its_routes():
+    """A configuration that ranks by route only must be accepted, also from a node."""
+    document = {**make_tenant_document(2), "tenants": [make_entry(priority=...)]}
+    tenants = decode(document).tenants
+    received = decode_tenants(encode_tenants(tenants, None), None)
+    owner = received.find(SECRET.encode())
+    assert_that(received.by_name, Equals(tenants.by_name))
+    origin = Origin(has_key=True, owner=owner)
+    decision = decide_tenancy(origin, 7, has_tenants=True, is_public=False)
+    assert_that((decision.tenant, decision.priority), Equals(("acme", 7)))
+
+
 @pytest.mark.parametrize(
     "tenants",
     [
@@ -126,7 +138,7 @@
         [[SECRET]],
         [{}],
         *([make_entry(name=value)] for value in ODD_VALUES),
-        *([make_entry(priority=value)] for value in [*ODD_VALUES, "1"]),
+        *([make_entry(priority=value)] for value in [*ODD_VALUES[1:], "1"]),
         *([make_entry(api_keys=v)] for v in ODD_VALUES if not isinstance(v, list)),
         *([make_entry(api_keys=[SECRET, v])] for v in (None, True, 7, [], {})),
         *([make_entry(api_keys=[SECRET, v])] for v in ("", "a\nb", " a", "a ", "\0")),
