Learned limits: switch and bounds of a service in the settings

limits.learning (on or off), limits.learned_min and limits.learned_max. Learning stays on by default, without bounds beyond the stated slots. A wrong value is an error that names the field and the value.

--- a/cactusshed/policy/concurrency.py
+++ b/cactusshed/policy/concurrency.py
@@ -77,6 +77,10 @@
 
     lowest: int = 1
     """Lowest limit, even if the target takes less well."""
+    highest: int | None = None
+    """Highest limit; `None` for the stated slots."""
+    is_enabled: bool = True
+    """Whether the limit is learned."""
     changed_at: float = float("-inf")
     """Time of the last change of the limit."""
     _times: AnswerTimes = attrs.Factory(AnswerTimes)
@@ -90,6 +94,14 @@
     _raise_wait: float = 0.0
     _updated_at: float = float("-inf")
 
+    def set_bounds(
+        self, lowest: int, highest: int | None, *, is_enabled: bool = True
+    ) -> None:
+        """Set the lowest and the highest limit of the service."""
+        self.lowest = lowest
+        self.highest = highest
+        self.is_enabled = is_enabled
+
     @property
     def answers(self) -> int:
         """Return the number of answers since the target started."""
@@ -102,7 +114,7 @@
 
     def note(self, route: str, running: int, seconds: float, now: float) -> None:
         """Record an answer that took `seconds` while `running` requests ran."""
-        if seconds <= 0:
+        if seconds <= 0 or not self.is_enabled:
             return
         if self._times.note(
             route, running, seconds, self._limit, now, is_on_trial=self.is_on_trial
@@ -115,6 +127,8 @@
         `may_try` is false while something else limits the target's requests: there are
         no lower limits on trial then.
         """
+        if self.highest is not None:
+            slots = min(slots, self.highest)
         if self._limit is None or self._limit == self._slots != slots:
             self._limit = slots
             self.changed_at = now
@@ -308,4 +322,4 @@
 
     def reset(self) -> None:
         """Forget everything, because the target is another process."""
-        self.__init__(lowest=self.lowest)
+        self.__init__(self.lowest, self.highest, self.is_enabled)
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -13,6 +13,7 @@
 from testtools.matchers import Contains, Equals, Is
 
 from cactusshed.errors import InvalidSettings, Malformed
+from cactusshed.nodesettings import LearnedLimits
 from cactusshed.platform.boot import load_settings
 from cactusshed.platform.document import decode_table
 from cactusshed.policy.coldstart import ColdStartGuard
@@ -36,6 +37,9 @@
     "limits.memory_mb",
     "limits.max_fds",
     "limits.link_mbps",
+    "limits.learning",
+    "limits.learned_min",
+    "limits.learned_max",
     "bounds.grace",
     "bounds.drain",
     "bounds.config",
@@ -69,7 +73,14 @@
         "listen": dict(
             zip(("inbound", "outbound", "ready", "control"), addresses, strict=False)
         ),
-        "limits": {"memory_mb": 200, "max_fds": 4100, "link_mbps": 10.0},
+        "limits": {
+            "memory_mb": 200,
+            "max_fds": 4100,
+            "link_mbps": 10.0,
+            "learning": "on",
+            "learned_min": 2,
+            "learned_max": 5,
+        },
         "heartbeat": "1500ms",
         "bounds": {
             "grace": "6s",
@@ -132,6 +143,39 @@
     assert_that(settings.max_descriptors, Equals(4100))
 
 
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, LearnedLimits(True, 2, 5)),
+        ({"learning": "off"}, LearnedLimits(False, 2, 5)),
+        ({"learning": None, "learned_min": None}, LearnedLimits(True, 1, 5)),
+        ({"learned_max": None}, LearnedLimits(True, 2, None)),
+    ],
+)
+def test_learned_limits_are_read(load, changes, expected):
+    """Learning must be on, without bounds beyond the slots, unless it is said."""
+    settings = make_settings()
+    settings["limits"].update(changes)
+    assert_that(load(settings).learned_limits, Equals(expected))
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "message"),
+    [
+        ("learning", "yes", "limits.learning: learning: neither 'on' nor 'off'"),
+        ("learning", "yes", "(got 'yes')"),
+        ("learned_min", 0, "(got 0)"),
+        ("learned_max", -1, "(got -1)"),
+        ("learned_max", 1, "limits.learned_max: below limits.learned_min 2 (got 1)"),
+    ],
+)
+def test_wrong_value_of_learned_limits_is_named(load, name, value, message):
+    """A typo must not leave learning on, or a service without its bounds."""
+    with pytest.raises(InvalidSettings) as caught:
+        load(set_field(make_settings(), f"limits.{name}", value))
+    assert_that(caught.value.message, Contains(message))
+
+
 @pytest.mark.parametrize("name", OPTIONAL)
 @pytest.mark.parametrize("value", [attrs.NOTHING, None])
 def test_field_of_an_unused_feature_may_be_absent(load, name, value):
--- a/tests/test_learned_limits.py
+++ b/tests/test_learned_limits.py
@@ -148,6 +148,30 @@
     assert_that(limit.update(SLOTS, 0.0), Equals(SLOTS))
 
 
+@pytest.mark.parametrize("lowest", [1, 6, SLOTS + 1])
+def test_limit_stays_within_the_bounds_of_the_service(rng, lowest):
+    """A service whose operator knows its targets must not be limited below that."""
+    limit = ConcurrencyLimit()
+    limit.set_bounds(lowest, 8)
+    limits = [
+        found
+        for _, found in simulate(
+            limit, rng, 60.0, lambda _now: 30.0, lambda n, _now: max(1.0, n / 3)
+        )
+    ]
+    assert_that(max(limits), Equals(8))
+    assert_that(min(limits), GreaterThan(min(lowest, 8) - 1))
+
+
+def test_learning_can_be_switched_off(rng):
+    """Switched off, a target that slows down early gets its slots all the same."""
+    limit = ConcurrencyLimit()
+    limit.set_bounds(1, None, is_enabled=False)
+    feed(limit, rng, slow_from=4)
+    assert_that(limit.update(SLOTS, 0.0), Equals(SLOTS))
+    assert_that(limit.answers, Equals(0))
+
+
 @pytest.mark.parametrize(
     ("text", "pace"),
     [
