Learned limits: trials at half of the limit, which fewer answers decide

A limit after a failed higher one is rounded to the nearest knee rather than up. A due trial goes before a higher limit.

--- a/cactusshed/policy/concurrency.py
+++ b/cactusshed/policy/concurrency.py
@@ -27,11 +27,15 @@
     MAX_SECONDS,
     MIN_ANSWERS,
     SUSPECTED_SIGMAS,
+    SUSPICION_SIGMAS,
     TRIAL_SIGMAS,
     Trial,
     Verdict,
+    can_show_slowdown,
+    find_lower,
     judge_lower,
     judge_raise,
+    learn_unslowed,
 )
 
 __all__ = ["ConcurrencyLimit"]
@@ -40,16 +44,7 @@
 """Answers at a limit before it is suspected to be too high, or raised."""
 MIN_FIRST_ANSWERS = 30
 """Answers at the limit before a trial without suspicion."""
-SUSPICION_SIGMAS = 2.5
-"""Standard errors of a slowdown that starts a trial."""
-MAX_SUSPICION_ERROR = 0.15
-"""Largest error of these times: work that differs much needs more answers."""
-LOWER_SHARE = 0.75
-"""Highest share of the limit to which it is lowered. A smaller step could not be told
-from noise in a trial, and gains little."""
-MIN_TRIAL_SHARE = 0.4
-"""Lowest share of the limit in one trial, which may be wrong."""
-TRIAL_SHARE = 0.6
+TRIAL_SHARE = 0.5
 """Share of the limit in a trial without suspicion: some 20 answers decide it."""
 TRIAL_INTERVAL_SECONDS = 120.0
 """Time between trials without suspicion: each costs a target that is not full about
@@ -62,9 +57,6 @@
 MAX_RAISE_WAIT_SECONDS = 3.0
 """Longest time between trials of a higher limit while times at the limit don't fall. It
 doubles with each that fails."""
-KNEE_ROUNDING = 0.9
-"""Added to the knee after a higher limit has failed; one more would raise the limit
-again and again."""
 IDLE_SECONDS = 10.0
 """Time without requests at the limit after which it rises by one a second."""
 UPDATE_SECONDS = 0.1
@@ -160,10 +152,11 @@
             if self._follow_slowdown(now, may_try):
                 return
             self._times.follow_faster_times()
-        if self._raise(now) or not may_try or now < self._trial_due:
-            return
-        if self._times.steady.count >= MIN_FIRST_ANSWERS:
+        is_due = may_try and now >= self._trial_due
+        if is_due and self._times.steady.count >= MIN_FIRST_ANSWERS:
             self._try_lower(self._get_trial_limit(), now, is_suspected=False)
+        else:
+            self._raise(now)
 
     def _get_trial_limit(self) -> int:
         return max(self.lowest, int(TRIAL_SHARE * self._limit))
@@ -187,8 +180,7 @@
         targets = [
             self._find_lower(mean, SUSPICION_SIGMAS)
             for mean in (times.recent, times.steady)
-            if mean.count >= MIN_RECENT_ANSWERS
-            and times.get_error(mean.variance_factor) <= MAX_SUSPICION_ERROR
+            if mean.count >= MIN_RECENT_ANSWERS and can_show_slowdown(mean, times)
         ]
         if not any(targets):
             return False
@@ -201,13 +193,7 @@
         return True
 
     def _find_lower(self, mean: RecentMean, sigmas: float) -> int | None:
-        """Return the lower limit that times at the limit call for, if any."""
-        slowdown, error = self._times.get_slowdown(mean)
-        if slowdown < sigmas * error:
-            return None
-        knee = self._times.find_knee(mean)
-        target = max(self.lowest, int(knee + 1), int(MIN_TRIAL_SHARE * self._limit))
-        return target if target <= LOWER_SHARE * self._limit else None
+        return find_lower(mean, self._times, self._limit, self.lowest, sigmas)
 
     def _try_lower(self, target: int, now: float, *, is_suspected: bool) -> None:
         if target >= self._limit:
@@ -256,7 +242,7 @@
                 TRIAL_INTERVAL_SECONDS if is_settled else UNCLEAR_INTERVAL_SECONDS
             )
             self._trial_due = now + interval
-            self._set_limit(self._learn_unslowed(trial), now)
+            self._set_limit(learn_unslowed(trial, self._times), now)
         elif not trial.is_suspected:
             target = self._get_trial_limit()
             if target < self._limit:
@@ -266,20 +252,6 @@
                 self._times.unslowed.set(mean.value, mean.count)
                 self._trial_due = now + TRIAL_INTERVAL_SECONDS
 
-    def _learn_unslowed(self, trial: Trial) -> int:
-        """Take over the unslowed time that a trial has shown; return the limit."""
-        mean = self._times.steady
-        value, count = mean.value, mean.count
-        target = max(self._limit, int(trial.find_knee(mean) + 1))
-        if target > LOWER_SHARE * trial.limit_before:
-            # Times before the trial were unslowed as well.
-            target = trial.limit_before
-            before = round(1 / trial.variance_factor)
-            value = (count * value + before * trial.mean_before) / (count + before)
-            count += before
-        self._times.unslowed.set(value, count)
-        return target
-
     def _raise(self, now: float) -> bool:
         """Try a higher limit if times at the limit are near the unslowed time."""
         times = self._times
@@ -317,7 +289,7 @@
             target = trial.limit_before
             if self._times.unslowed.count:
                 knee = self._times.find_knee(self._times.steady)
-                target = max(target, min(self._limit, int(knee + KNEE_ROUNDING)))
+                target = max(target, min(self._limit, round(knee)))
             self._set_limit(target, now)
 
     def reset(self) -> None:
--- a/cactusshed/policy/limittrials.py
+++ b/cactusshed/policy/limittrials.py
@@ -16,11 +16,15 @@
     "MAX_SECONDS",
     "MIN_ANSWERS",
     "SUSPECTED_SIGMAS",
+    "SUSPICION_SIGMAS",
     "TRIAL_SIGMAS",
     "Trial",
     "Verdict",
+    "can_show_slowdown",
+    "find_lower",
     "judge_lower",
     "judge_raise",
+    "learn_unslowed",
 ]
 
 MIN_ANSWERS = 8
@@ -41,6 +45,15 @@
 """The same if the unslowed time is known."""
 MAX_UNSLOWED_ERROR = 0.08
 """The same once a trial has shown that the target is full: the limit depends on it."""
+SUSPICION_SIGMAS = 2.5
+"""Standard errors of a slowdown that starts a trial."""
+MAX_SUSPICION_ERROR = 0.15
+"""Largest error of these times: work that differs much needs more answers."""
+LOWER_SHARE = 0.75
+"""Highest share of the limit to which it is lowered. A smaller step could not be told
+from noise in a trial, and gains little."""
+MIN_TRIAL_SHARE = 0.4
+"""Lowest share of the limit in one trial, which may be wrong."""
 MAX_SECONDS = 6.0
 MAX_RAISE_SECONDS = 3.0
 """Longest trials of a lower and of a higher limit, which few requests may reach."""
@@ -82,6 +95,38 @@
         return self.running_before * math.exp(mean.value - self.mean_before)
 
 
+def can_show_slowdown(mean: RecentMean, times: AnswerTimes) -> bool:
+    """Return whether a mean is exact enough for a suspicion."""
+    return times.get_error(mean.variance_factor) <= MAX_SUSPICION_ERROR
+
+
+def find_lower(
+    mean: RecentMean, times: AnswerTimes, limit: int, lowest: int, sigmas: float
+) -> int | None:
+    """Return the lower limit that times at the limit call for, if any."""
+    slowdown, error = times.get_slowdown(mean)
+    if slowdown < sigmas * error:
+        return None
+    knee = times.find_knee(mean)
+    target = max(lowest, int(knee + 1), int(MIN_TRIAL_SHARE * limit))
+    return target if target <= LOWER_SHARE * limit else None
+
+
+def learn_unslowed(trial: Trial, times: AnswerTimes) -> int:
+    """Take over the unslowed time that a trial has shown; return the limit."""
+    mean = times.steady
+    value, count = mean.value, mean.count
+    target = max(trial.limit, int(trial.find_knee(mean) + 1))
+    if target > LOWER_SHARE * trial.limit_before:
+        # Times before the trial were unslowed as well.
+        target = trial.limit_before
+        before = round(1 / trial.variance_factor)
+        value = (count * value + before * trial.mean_before) / (count + before)
+        count += before
+    times.unslowed.set(value, count)
+    return target
+
+
 def judge_lower(trial: Trial, times: AnswerTimes, now: float) -> tuple[Verdict, bool]:
     """Return the verdict of the trial of a lower limit, and whether it is clear."""
     mean = times.steady
