--- a/bench/limits.py
+++ b/bench/limits.py
@@ -129,7 +129,7 @@
                 "s until changes are followed",
                 "within bounds",
             ),
-            pool.map(partial(compare_policies, runs=runs), ROWS, chunksize=1),
+            pool.imap(partial(compare_policies, runs=runs), ROWS),
         )
 
 
