--- a/cactusshed/policy/concurrency.py
+++ b/cactusshed/policy/concurrency.py
@@ -48,8 +48,7 @@
 TRIAL_SHARE = 0.5
 """Share of the limit in a trial without suspicion: some 20 answers decide it."""
 TRIAL_INTERVAL_SECONDS = 120.0
-"""Time between trials without suspicion: each costs a target that is not full about
-half a second of its throughput."""
+"""Time between trials without suspicion, which may cost two seconds of throughput."""
 UNCLEAR_INTERVAL_SECONDS = 20.0
 """The same after a trial that did not show clearly whether the target is full."""
 RAISE_SHARE = 0.9
@@ -144,9 +143,9 @@
             if self._follow_slowdown(now, may_try):
                 return
             self.times.follow_faster_times()
-        is_due = may_try and now >= self._trial_due
-        is_due = is_due and self.times.fullness.value >= MIN_FULLNESS
-        if is_due and self.times.steady.count >= MIN_FIRST_ANSWERS:
+        is_full = self.times.fullness.value >= MIN_FULLNESS
+        is_known = is_full and self.times.steady.count >= MIN_FIRST_ANSWERS
+        if is_known and may_try and now >= self._trial_due:
             self._try_lower(self._get_trial_limit(), now, is_suspected=False)
         else:
             self._raise(now)
@@ -289,9 +288,8 @@
         """Return whether the limit outside trials has changed enough to matter."""
         limit, before = self._limit, self.settled
         is_small = abs(limit - before) < SETTLED_SHARE * before
-        if self.trial is not None or limit == before:
-            return False
-        if is_small and limit != self._slots:
+        is_same = limit == before or (is_small and limit != self._slots)
+        if self.trial is not None or is_same:
             return False
         self.settled, self.settled_at = limit, now
         return True
