--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -13,6 +13,7 @@
 from ..observe.histograms import NO_TENANT, CallClass, Histograms
 from ..observe.lines import log_line
 from ..platform import headers as header_names
+from ..policy.backpressure import is_refused_for_load
 from ..policy.firsttimeouts import FirstTimeout
 from ..policy.plannedstop import PlannedStop
 from ..policy.tenancy import Decision, Refusal, decide_tenancy
@@ -128,7 +129,9 @@
             return self._refuse(LEAVING_RETRY_SECONDS)
         outcome = await self._run(plan)
         if parent is not None:
-            refused = outcome.result.outcome == NOT_RUN
+            refused = is_refused_for_load(
+                outcome.arrivals, has_run=outcome.result.outcome != NOT_RUN
+            )
             backpressure = self.dispatcher.gate.backpressure
             backpressure.note_call(parent.call.route, refused=refused)
         return self._respond(plan, route, outcome, request)
--- a/cactusshed/policy/backpressure.py
+++ b/cactusshed/policy/backpressure.py
@@ -6,6 +6,11 @@
 makes downstream calls, the gate of the calling target therefore admits only as
 many requests as recently had their calls served. Routes that make no calls are
 not throttled.
+
+A target that refuses requests which its gate has admitted, below its stated slots, does
+so at any rate of requests. Throttling their callers would not help: it stopped nearly
+all requests of a route of which a third needed no calls. So only calls that found no
+room at any gate count as refused.
 """
 
 from collections.abc import Iterator
@@ -15,7 +20,7 @@
 from .coldstart import TokenBucket
 from .startlimits import StartLimit
 
-__all__ = ["Backpressure", "RouteBackpressure"]
+__all__ = ["Backpressure", "RouteBackpressure", "is_refused_for_load"]
 
 STEP_SECONDS = 0.2
 """Time between two adjustments, in which a loaded target makes about 20 calls."""
@@ -35,6 +40,14 @@
 """Requests that may start at once while a limit is in force."""
 
 
+def is_refused_for_load(arrivals: int, *, has_run: bool) -> bool:
+    """Return whether a call that reached `arrivals` targets was refused for their load.
+
+    `has_run` is true for a call that may have run.
+    """
+    return not has_run and not arrivals
+
+
 @attrs.define
 class Backpressure:
     """Admission limit for one route at one gate; times are in monotonic seconds."""
