Spend more of the retry budget, and reserve what retries' calls need

Gates spent 0.6 of the ratio, so that calls made by retries, which are never refused, could not exceed it even where a service gets none. Their expected number is now kept free instead, and 0.85 of the ratio is spent.

--- a/cactusshed/policy/gateretries.py
+++ b/cactusshed/policy/gateretries.py
@@ -18,8 +18,9 @@
 
 BUCKETS = 20
 """Number of buckets in the window; the window is accurate to one bucket."""
-RATIO_FRACTION = 0.6
-"""Fraction of the ratio that gates spend; the rest covers calls made by retries."""
+RATIO_FRACTION = 0.85
+"""Fraction of the ratio that gates spend; the rest covers a window longer by one
+bucket and unexpected calls made by retries."""
 RERUN_COST = 2.5
 """Cost of retrying a request that has run, since its downstream calls run again.
 
@@ -37,6 +38,8 @@
     number: int
     first_attempts: int = 0
     retries: float = 0.0
+    nested_retries: int = 0
+    """Calls made by retries, which are never refused; part of `retries`."""
     asked: Counter[int] = attrs.Factory(Counter)
     """Cost of the retries that were asked for, by priority."""
     taken: Counter[int] = attrs.Factory(Counter)
@@ -70,6 +73,7 @@
         bucket = self._get_bucket(now)
         bucket.first_attempts += 1
         bucket.retries += parent_is_retry
+        bucket.nested_retries += parent_is_retry
 
     def take(
         self, gates: int, now: float, *, may_have_run: bool, priority: int = 0
@@ -85,30 +89,46 @@
         first_attempts = sum(each.first_attempts for each in self._buckets)
         retries = sum(each.retries for each in self._buckets)
         limit = self._ratio * first_attempts + self._slack / max(1, gates)
-        if retries + cost + self._estimate_reserve(bucket, priority) > limit:
+        reserve = self._estimate_reserve(bucket, priority)
+        if retries + cost + reserve > limit:
             return False
         bucket.retries += cost
         bucket.taken[priority] += cost
         return True
 
     def _estimate_reserve(self, current: _Bucket, priority: int) -> float:
-        """Return what higher priorities are expected to take in the rest of a window.
+        """Return what must be left for the rest of a window.
 
-        That is what they ask for in a whole window, at the rate since the first of
-        their retries, less what they have taken.
+        That is for the calls that retries of other services make, and for retries of
+        higher priorities: what they ask for in a whole window, at the rate since the
+        first of them, less what they have taken.
         """
-        asked = taken = 0.0
-        first = None
-        for bucket in self._buckets:
-            higher = _sum_higher(bucket.asked, priority)
-            if higher and first is None:
-                first = bucket.number
-            asked += higher
-            taken += _sum_higher(bucket.taken, priority)
-        if first is None:
-            return 0.0
-        buckets = max(MIN_DEMAND_BUCKETS, current.number - first + 1)
-        return max(0.0, asked / buckets * BUCKETS - taken)
+        nested = [
+            (each, each.nested_retries, each.nested_retries) for each in self._buckets
+        ]
+        higher = [
+            (each, _sum_higher(each.asked, priority), _sum_higher(each.taken, priority))
+            for each in self._buckets
+        ]
+        return _extrapolate(nested, current.number) + _extrapolate(
+            higher, current.number
+        )
+
+
+def _extrapolate(
+    counts: list[tuple[_Bucket, float, float]], current_number: int
+) -> float:
+    """Return what will be taken in a window besides what was.
+
+    `counts` are the buckets of the window, with what was asked and taken in each.
+    """
+    first = next((bucket.number for bucket, asked, _ in counts if asked), None)
+    if first is None:
+        return 0.0
+    buckets = max(MIN_DEMAND_BUCKETS, current_number - first + 1)
+    asked = sum(asked for _, asked, _ in counts)
+    taken = sum(taken for *_, taken in counts)
+    return max(0.0, asked / buckets * BUCKETS - taken)
 
 
 def _sum_higher(costs: Counter[int], priority: int) -> float:
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -103,6 +103,27 @@
     assert_that(budget.take(1, 0.0, may_have_run=False), Equals(False))
 
 
+def test_calls_made_by_later_retries_stay_within_the_budget():
+    """Calls made by retries of another service must find budget left for them.
+
+    All requests are retried from the start, and from the fifth second on one in twelve
+    is a call made by a retry, which is never refused.
+    """
+    ratio, window, slack, gates = 0.2, 10.0, 58.0, 4
+    budgets = [GateRetryBudget(ratio, window, slack) for _ in range(gates)]
+    passed = []
+    for step in range(3000):
+        now = step / 100
+        for budget in budgets:
+            is_nested = now >= 5 and step % 12 == 0
+            budget.note_first_attempt(now, parent_is_retry=is_nested)
+            if is_nested or budget.take(gates, now, may_have_run=False):
+                passed.append(now)
+    for window_start in range(20):
+        count = sum(window_start <= t < window_start + window for t in passed)
+        assert_that(count, LessThan(ratio * 100 * gates * window + slack))
+
+
 def replay_refusing_targets(priorities):
     """Return the shares of retries allowed, by name, at one of 16 gates.
 
