AdmissionQueue.limit is read-only

Cause: the setter of `limit` set `slots`, although `limit` returns the lower of the stated slots and the learned limit, so what was set could differ from what was read. Change: callers set `slots`; the setter is removed.

--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -187,7 +187,7 @@
             on_restart_suspected=lambda: None,
             on_leaving=lambda _sent_at: None,
         )
-        gate.queue.limit = service.slots
+        gate.queue.slots = service.slots
         gate.cold.adjust(service.cold_rate, COLD_FACTOR, COLD_SLACK)
         gate.cold.set_cold_time(0.0, 0.0)
         gate.set_close_reason("target-unknown", False)
--- a/cactusshed/mesh/announcements.py
+++ b/cactusshed/mesh/announcements.py
@@ -98,7 +98,7 @@
             leave_acknowledged=leave_acknowledged,
         )
         self._restore_rate_limit(state.rate_limit)
-        self.gate.queue.limit = max(1, state.slots)
+        self.gate.queue.slots = max(1, state.slots)
         self.gate.version = state.version
         self.gate.instance = state.name
         self.gate.set_close_reason("target-left", leave_acknowledged)
@@ -200,7 +200,7 @@
             self._adopted_at = now
         gate.instance = announcement.name
         gate.version = announcement.version
-        gate.queue.limit = announcement.slots
+        gate.queue.slots = announcement.slots
         gate.exchange.concurrency.reset()
         gate.notices.host_pace.reset()
         self.set_state(
@@ -221,7 +221,7 @@
     def _set_slots(self, slots: int) -> None:
         """Apply a change of the target's slots while it runs."""
         log_line("target-slots", instance=self.state.name, slots=slots)
-        self.gate.queue.limit = slots
+        self.gate.queue.slots = slots
         self.set_state(slots=slots)
         self.schedule_persist()
         self.gate.start_waiting()
--- a/cactusshed/policy/admissionqueue.py
+++ b/cactusshed/policy/admissionqueue.py
@@ -62,10 +62,6 @@
             return self.slots
         return min(self.slots, self.learned_limit)
 
-    @limit.setter
-    def limit(self, slots: int) -> None:
-        self.slots = slots
-
     @property
     def waiting(self) -> int:
         """Return the number of waiting requests."""
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -97,7 +97,7 @@
     )
     gate.instance = target.instance
     gate.version = "v1"
-    gate.queue.limit = slots
+    gate.queue.slots = slots
     gate.set_close_reason("target-unknown", False)
     gate.cold.adjust(WARM_RATE, 1.0, WARM_RATE)
     gate.cold.set_cold_time(0.0, 0.0)
--- a/tests/test_awaited.py
+++ b/tests/test_awaited.py
@@ -61,7 +61,7 @@
 async def start_reads(first, node):
     """Send reads to `first` that are run beside `node`; return their tasks."""
     node.target.work_seconds = SLOW_SECONDS
-    node.sidecar.gate.queue.limit = 2 * SLOTS
+    node.sidecar.gate.queue.slots = 2 * SLOTS
     reads = [asyncio.create_task(first.request("/slow/x")) for _ in range(MIN_SILENT)]
     await wait_for(lambda: node.target.running == len(reads))
     return reads
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -44,7 +44,7 @@
         leaving, other = await fleet.start_connected("n1", "n2")
         for node in (leaving, other):
             node.target.work_seconds = WORK_SECONDS
-            node.sidecar.gate.queue.limit = 40
+            node.sidecar.gate.queue.slots = 40
         first = await fleet.start("n3", "b")
         await wait_for(first.is_reachable_and_ready)
         await wait_for(lambda: len(first.sidecar.peers.list_connected("a")) == 2)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -558,7 +558,7 @@
         async with open_fleet("n1") as (_, (node,)):
             bounds = attrs.evolve(node.settings.bounds, grace=grace)
             node.sidecar.settings = attrs.evolve(node.settings, bounds=bounds)
-            node.sidecar.gate.queue.limit = 40
+            node.sidecar.gate.queue.slots = 40
             node.target.work_seconds = 0.9
             endings = []
 
@@ -596,7 +596,7 @@
     async def work():
         async with open_fleet("n1", "n2") as (_, nodes):
             nodes[0].target.script[path] = "fail-503"
-            nodes[1].sidecar.gate.queue.limit = 4
+            nodes[1].sidecar.gate.queue.slots = 4
             answers = [await nodes[0].request(path, method) for _ in range(12)]
             failed = [answer for answer in answers if answer.status != 200]
             is_sealed = [bool(answer.find(b"x-response-seal")) for answer in failed]
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -309,7 +309,7 @@
                 first = await fleet.start("n2", "b")
                 await wait_for(first.is_reachable_and_ready)
                 await wait_for(lambda: first.sidecar.peers.list_connected("a"))
-            node.sidecar.gate.queue.limit = 4
+            node.sidecar.gate.queue.slots = 4
             stop = first.stop.set if is_stopped else lambda: None
             return await read_beside(first, node, stop)
         finally:
