Serve the accept queue of a listening socket before it is closed

Cause: the kernel completes connections on its own and queues them for accept(). Closing the listening socket resets those still queued, also if their clients have sent whole requests. asyncio takes up to 8 of them per turn of the event loop, and a planned stop closed the socket in a turn in which others could be queued. Change: the listeners of mesh/ and serve/ accept what is queued, close the socket in the same turn, and then serve these connections, which end after one response. Result: the two new tests failed before (ConnectionResetError) and pass. In 20 runs of test_leaving_node_serves_accepted_requests_and_then_refuses on the code before, 10 had 1 to 3 connections in the accept queue when the node closed it; none of these was cut, since the clients, in the same event loop, had not yet written to them.

--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -7,6 +7,7 @@
 from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
 from ..policy.clientmemory import ClientBudgets, make_caller_budgets
+from ..sockets import accept_queued
 from .connection import Connection
 from .messages import Handler, Request
 from .table import Limits
@@ -59,6 +60,9 @@
         self.connections: set[Connection] = self.holders.connections
         self.is_closing = False
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._arriving: set[asyncio.Task] = set()
+        """Connections that were taken from the accept queue on `stop`."""
 
     async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
@@ -75,6 +79,7 @@
             raise
         # asyncio has set the kernel's backlog to what it takes at once.
         sock.listen(backlog)
+        self._socket = sock
 
     async def sweep(self) -> None:
         """Time out slow requests and close idle connections until cancelled."""
@@ -108,9 +113,20 @@
         return ((c, c.count_unsent_bytes()) for c in self.connections)
 
     def stop(self) -> None:
-        """Stop accepting connections; open ones stay."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting connections; open ones stay.
+
+        Those that the kernel has accepted are open: their clients can't tell.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        queued = accept_queued(self._socket)
+        self._server.close()
+        for sock in queued:
+            task = self.loop.create_task(
+                self.loop.connect_accepted_socket(lambda: Connection(self), sock)
+            )
+            self._arriving.add(task)
+            task.add_done_callback(self._arriving.discard)
 
 
 def _check_timeouts(connection: Connection, now: float, limits: Limits) -> None:
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -1,5 +1,6 @@
 """HTTP listeners: uvicorn servers that share one process and handle no signals."""
 
+import asyncio
 import contextlib
 import logging
 import socket
@@ -17,7 +18,7 @@
 from ..readbuffer import SharedBufferProtocol
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
-from ..sockets import count_unread_bytes, count_unsent_bytes
+from ..sockets import accept_queued, count_unread_bytes, count_unsent_bytes
 from .asgi import MAX_DISCARDED_BYTES
 
 __all__ = ["Listener", "open_socket"]
@@ -25,6 +26,12 @@
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 MAX_CONTROL_CONNECTIONS = 200
+TLS_SECONDS = 0.5
+"""Time for the TLS handshake of a connection that was not accepted before a stop; part
+of the time that a stop leaves for the last answers."""
+ACCEPT_TURNS = 4
+"""Turns of the event loop after which a connection that asyncio has accepted is known
+to its server: one each for its task, its transport and its protocol, and one more."""
 
 
 class _Flow(FlowControl):
@@ -60,7 +67,7 @@
         self._chunk_count = 0
         self._discarded = 0
         self._trailer_bytes = 0
-        self._is_ending = False
+        self.is_ending = False
         self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
 
     def _make_parser(self) -> httptools.HttpRequestParser:
@@ -82,7 +89,7 @@
         """
         is_idle = self.cycle is None or self.cycle.response_complete
         if is_idle and count_unread_bytes(self.transport):
-            self._is_ending = True
+            self.is_ending = True
         else:
             super().shutdown()
 
@@ -154,7 +161,7 @@
         # A body of known length has no chunks that wait for turns.
         self.read_in_bulk(any(n == b"content-length" for n, _ in self.headers))
         super().on_headers_complete()
-        if self._is_ending:
+        if self.is_ending:
             self.cycle.keep_alive = False
 
     def on_message_complete(self) -> None:
@@ -173,6 +180,41 @@
         """Install no signal handlers."""
         return contextlib.nullcontext()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop accepting, and end after the running requests.
+
+        The connections that the kernel has accepted are served first: their clients
+        can't tell that the process has not.
+        """
+        queued = [connection for sock in sockets for connection in accept_queued(sock)]
+        for server in self.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        opened = (
+            loop.connect_accepted_socket(
+                self._make_ending_protocol,
+                connection,
+                ssl=self.config.ssl,
+                ssl_handshake_timeout=TLS_SECONDS if self.config.ssl else None,
+            )
+            for connection in queued
+        )
+        # A connection that fails has no request.
+        await asyncio.gather(*opened, return_exceptions=True)
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        await super().shutdown(sockets)
+
+    def _make_ending_protocol(self) -> _Protocol:
+        """Return the protocol of a connection that closes after its first response."""
+        protocol = _Protocol(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        protocol.is_ending = True
+        return protocol
+
 
 def open_socket(address: Address) -> socket.socket:
     """Return a listening socket at `address`."""
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -9,6 +9,7 @@
 import termios
 
 __all__ = [
+    "accept_queued",
     "count_unread_bytes",
     "count_unsent_bytes",
     "discard_unsent",
@@ -22,9 +23,33 @@
 """Unanswered probes, one second apart, after which a connection is dead."""
 USER_TIMEOUT_MS = 3000
 """Time for which sent bytes may stay unacknowledged: idle time plus probes."""
+MAX_QUEUED = 4096
+"""Connections taken from one accept queue; the backlogs are shorter."""
 _INT_BYTES = 4
 
 
+def accept_queued(listener: socket.socket) -> list[socket.socket]:
+    """Return the connections in the accept queue of a non-blocking listening socket.
+
+    The kernel resets them when the socket is closed, although their clients may have
+    sent whole requests. What is connected after the last one of the queue and before
+    the close is still reset; hence callers close the socket at once.
+    """
+    queued = []
+    # Without a bound, clients that connect without end would hold up the caller.
+    while len(queued) < MAX_QUEUED:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # The queue is empty, or there are no descriptors left.
+            break
+        connection.setblocking(False)
+        queued.append(connection)
+    return queued
+
+
 def count_unsent_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes written to `transport` that the peer has not acknowledged.
 
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -30,6 +30,8 @@
 """Time for which the machine gives the process no time; above `loss_slack`, the time
 after which an unanswered request counts as lost."""
 BEFORE_END_SECONDS = 0.1
+QUEUED_CONNECTIONS = 20
+"""More than asyncio takes from the kernel in one turn."""
 
 
 @pytest.mark.parametrize("work_seconds", [0.0, LAST_ANSWERS_SECONDS + 0.4])
@@ -110,6 +112,44 @@
     assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
 
 
+def test_request_in_the_accept_queue_of_a_stopping_listener_is_answered():
+    """The kernel reset connections that it had accepted and the process had not.
+
+    They are in the queue of the listening socket, which it drops on close. The client
+    had sent its whole request, and did not know whether it had run.
+    """
+
+    async def serve(_request):
+        return make_response(503)
+
+    async def work():
+        listener = Listener(serve, Limits, lambda status: None)
+        port = choose_port()
+        await listener.open("127.0.0.1", port)
+        loop = asyncio.get_running_loop()
+        clients = []
+        for _ in range(QUEUED_CONNECTIONS):
+            # Connects and sends without a turn of the event loop.
+            client = socket.create_connection(("127.0.0.1", port))
+            client.sendall(render_request(b"GET", "/read/x", {}))
+            client.setblocking(False)
+            clients.append(client)
+        listener.is_closing = True
+        listener.stop()
+        answers = []
+        for client in clients:
+            with client:
+                try:
+                    async with asyncio.timeout(1.0):
+                        answers.append((await loop.sock_recv(client, 1000))[:12])
+                except OSError as error:
+                    answers.append(type(error))
+        return answers
+
+    answers = run_async(work)
+    assert_that(answers, Equals([b"HTTP/1.1 503"] * QUEUED_CONNECTIONS))
+
+
 @attrs.define
 class LateListener:
     """A listener that gets one request right after check number `late_check`."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -290,6 +290,45 @@
     assert_that(answer, Contains(b"connection: close"))
 
 
+def test_request_in_the_accept_queue_of_the_product_listener_is_answered():
+    """The kernel reset connections that it had accepted and the process had not.
+
+    They are in the queue of the listening socket, which it drops on close.
+    """
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        loop = asyncio.get_running_loop()
+        await wait_for(lambda: listener._server.started)
+        closing = listener._server.shutdown
+
+        async def send_and_close(sockets):
+            # Connects and sends without a turn of the event loop before the close.
+            client.connect((address.ip, address.port))
+            client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await closing(sockets)
+
+        listener._server.shutdown = send_and_close
+        with socket.socket() as client:
+            listener.stop()
+            await running
+            client.setblocking(False)
+            answer = b""
+            while part := await loop.sock_recv(client, 1000):
+                answer += part
+        return answer
+
+    answer = run_async(work)
+    assert_that(answer, StartsWith(b"HTTP/1.1 200 "))
+    assert_that(answer, Contains(b"connection: close"))
+
+
 def test_calls_that_arrived_while_the_node_was_held_up_are_awaited():
     """The product's node closed its listeners before it had read them.
 
