A drain polls after a pause of the process

Cause: a drain ended when its time was up, also if the process had been paused (SIGSTOP) until then, so the requests that had arrived in the pause were not read. The process exited and their connections were reset. Change: after its end a drain polls until two polls in a row took no longer than usual, six times at most. Each poll leaves the turns of the event loop in which a request is accepted, read and refused.

--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+import attrs
+
 from ..clock import read_monotonic
 from ..observe.lines import log_line
 from ..policy.plannedstop import PlannedStop, ReaderProgress
@@ -39,17 +41,59 @@
 POLL_SECONDS = 0.02
 """Interval between checks for running requests: far below a client's timeout."""
 QUIET_POLLS = 2
-"""Checks in a row that must find nothing. After a delay of the process, the first one
-may run before the requests that arrived meanwhile are read."""
+"""Checks in a row that must find nothing, and polls after a pause of the process, such
+as SIGSTOP: the first check may run before what arrived meanwhile is read."""
+READ_TURNS = 8
+"""Turns of the event loop that a poll leaves for requests that have arrived. asyncio
+takes one each to accept a connection, open its transport, start its protocol and read
+from it, and the listener two to refuse the request; timers that are due run between."""
+PAUSE_SECONDS = 0.1
+"""Duration of a poll from which the process was paused: five times the usual one."""
+MAX_LAST_POLLS = 6
+"""Polls after the end of a drain. A host on which each poll takes as long as a pause
+must not hold up the exit."""
+
+
+@attrs.define
+class _Polls:
+    """Polls of a drain, and how many of them were made since the last pause."""
+
+    since_pause: int = 0
+    past_end: int = 0
+    _ended_at: float = attrs.Factory(read_monotonic)
+
+    async def wait(self) -> None:
+        """Wait for an interval, and until what has arrived is read."""
+        await asyncio.sleep(POLL_SECONDS)
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
+        now = read_monotonic()
+        was_paused = now - self._ended_at >= PAUSE_SECONDS
+        self.since_pause = 0 if was_paused else self.since_pause + 1
+        self._ended_at = now
+
+    def may_continue(self, end: float) -> bool:
+        """Return whether to poll again: until `end`, and after a pause."""
+        now = read_monotonic()
+        if now < end:
+            return True
+        if now - self._ended_at >= PAUSE_SECONDS:
+            self.since_pause = 0
+        self.past_end += 1
+        return self.since_pause < QUIET_POLLS and self.past_end <= MAX_LAST_POLLS
 
 
 async def drain(
     listener: Listener, inbound: Inbound, stop: PlannedStop, readers: ReaderProgress
 ) -> None:
-    """Drain the running requests until `stop.answer_by` at the latest."""
+    """Drain the running requests until `stop.answer_by` at the latest.
+
+    What arrived during a pause of the process is refused also after that time.
+    """
     started = read_monotonic()
     listener.is_closing = True
     end = stop.answer_by
+    polls = _Polls()
     quiet_polls = 0
     while read_monotonic() < end:
         now = read_monotonic()
@@ -62,16 +106,16 @@
             quiet_polls = 0 if is_busy else quiet_polls + 1
             if quiet_polls == QUIET_POLLS:
                 break
-        await asyncio.sleep(POLL_SECONDS)
+        await polls.wait()
     # What still arrives over open connections and links gets a refusal.
     stop.is_closed = True
     listener.stop()
     end = min(end, read_monotonic()) + LAST_ANSWERS_SECONDS
     quiet_polls = 0
-    while quiet_polls < QUIET_POLLS and read_monotonic() < end:
+    while quiet_polls < QUIET_POLLS and polls.may_continue(end):
         listener.close_idle(MIN_IDLE_SECONDS)
         quiet_polls = 0 if listener.connections else quiet_polls + 1
-        await asyncio.sleep(POLL_SECONDS)
+        await polls.wait()
     listener.close_idle()
     log_line("drained", requests=listener.count_busy(), calls=inbound.running)
 
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -30,6 +30,7 @@
 """Time for which the machine gives the process no time; above `loss_slack`, the time
 after which an unanswered request counts as lost."""
 BEFORE_END_SECONDS = 0.1
+DRAIN_SECONDS = 0.2
 QUEUED_CONNECTIONS = 20
 """More than asyncio takes from the kernel in one turn."""
 
@@ -150,6 +151,52 @@
     assert_that(answers, Equals([b"HTTP/1.1 503"] * QUEUED_CONNECTIONS))
 
 
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_request_that_arrives_in_a_pause_past_the_end_of_a_drain_is_refused(
+    is_connected,
+):
+    """A process was stopped and continued once its time to drain was over.
+
+    The drain ended at once, and the process exited with a request that it had not read.
+    """
+    planned_stop = PlannedStop()
+
+    async def serve(_request):
+        accepts = planned_stop.accepts(read_monotonic() + 1.0)
+        return make_response(200 if accepts else 503)
+
+    async def work():
+        listener = Listener(serve, Limits, lambda status: None)
+        port = choose_port()
+        await listener.open("127.0.0.1", port)
+        inbound = attrs.make_class("Inbound", {"running": attrs.field(default=0)})()
+        with socket.socket() as client:
+            if is_connected:
+                client.connect(("127.0.0.1", port))
+                await wait_for(lambda: listener.connections)
+            now = read_monotonic()
+            planned_stop.begin(now, now + DRAIN_SECONDS)
+            readers = ReaderProgress([])
+            draining = asyncio.create_task(
+                drain(listener, inbound, planned_stop, readers)
+            )
+            await asyncio.sleep(DRAIN_SECONDS / 2)
+            if not is_connected:
+                client.connect(("127.0.0.1", port))
+            client.sendall(render_request(b"GET", "/read/x", {}))
+            time.sleep(DRAIN_SECONDS + LAST_ANSWERS_SECONDS + HELD_UP_SECONDS)
+            await draining
+            # The process would end now.
+            client.setblocking(False)
+            try:
+                return client.recv(1000)
+            except OSError:
+                # Reset, or nothing received.
+                return b""
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 503 "))
+
+
 @attrs.define
 class LateListener:
     """A listener that gets one request right after check number `late_check`."""
