A link whose answers wait for their turn on the uplink is not slow

Cause: a planned stop takes a reader without progress for one second for one that does not read. Large answers are sent one after the other over a slow uplink, so the link of the last one makes no progress while the others are sent. A stop could end between two of them, or in a pause of the uplink. Change: links with queued answers whose transport holds little are counted as reading.

--- a/cactusshed/mesh/bodyparts.py
+++ b/cactusshed/mesh/bodyparts.py
@@ -58,6 +58,13 @@
             unsent += self.scheduler.count_unsent(self)
         return unsent
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether large answers wait for their turn, not for the other side."""
+        if self.is_held or self.scheduler is None:
+            return False
+        return self.scheduler.count_unsent(self) > 0
+
     def send(self, frame: Call | Result) -> None:
         """Send a frame without its body, and the body as the link allows."""
         head = msgspec.structs.replace(frame, body=b"", body_size=len(frame.body))
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -129,6 +129,14 @@
             return 0
         return self._parts.unsent_bytes + self._transport.get_write_buffer_size()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether large answers wait for their turn on the uplink.
+
+        Otherwise what is unsent waits for the other side, which is slow or frozen.
+        """
+        return not self.is_closed and self._parts.is_waiting
+
     def send(self, frame: Frame) -> bool:
         """Send a frame; return False if the connection has ended."""
         if self.is_closed or self._transport.is_closing():
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -270,6 +270,10 @@
         """Yield each link dialled by others, and its unsent bytes."""
         return ((link, link.count_unsent_bytes()) for link in self._accepted)
 
+    def list_waiting(self) -> Iterator[Link]:
+        """Yield each of these links whose answers wait for their turn."""
+        return (link for link in self._accepted if link.is_waiting)
+
     def list_accepted(self) -> list[Link]:
         """Return the links that other nodes dialled."""
         return list(self._accepted)
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -414,7 +414,9 @@
         self._broadcast_state()
         if self.usage is not None:
             self.usage.prepare_stop()
-        readers = ReaderProgress((listener.list_unsent, self.peers.list_unsent))
+        readers = ReaderProgress(
+            (listener.list_unsent, self.peers.list_unsent), self.peers.list_waiting
+        )
         await drain(listener, self.inbound, self.planned_stop, readers)
         if self.usage is not None:
             await self.usage.finish(killed_at - EXIT_SECONDS - read_monotonic())
--- a/cactusshed/policy/plannedstop.py
+++ b/cactusshed/policy/plannedstop.py
@@ -61,16 +61,21 @@
     """
 
     sources: Iterable[Callable[[], Iterable[tuple[Hashable, int]]]]
+    list_waiting: Callable[[], Iterable[Hashable]] = tuple
+    """Returns the readers whose data waits for its turn on the uplink of this host.
+    They are not slow: nothing is sent to them as long as others have their turn."""
     _seen: dict[Hashable, tuple[int, float]] = attrs.Factory(dict)
     """Unsent bytes of each reader, and the time at which they last became fewer."""
 
     def count_reading(self, now: float) -> int:
         """Return the number of readers that made progress lately."""
         before, self._seen = self._seen, {}
+        waiting = frozenset(self.list_waiting())
         for source in self.sources:
             for reader, size in source():
                 if not size:
                     continue
                 known_size, since = before.get(reader, (size, now))
-                self._seen[reader] = (size, now if size < known_size else since)
+                has_progress = size < known_size or reader in waiting
+                self._seen[reader] = (size, now if has_progress else since)
         return sum(now - since < STALL_SECONDS for _, since in self._seen.values())
