The test of refusals during a stop counts them

Cause: the test cleared Member.is_leaving, which only the log and the relay read. The first node still knew from accepts_until that the other one was leaving and sent it no call, so the test passed without a refusal. Change: the first node's record of the stop is cleared whole, and the test requires more than 10 refusals. Result: it passes, and fails if PlannedStop.accepts_remote always returns true (before, it passed then too).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -108,14 +108,17 @@
             member = first.sidecar.peers.members[leaving.settings.node]
 
             def forget_stop():
-                member.is_leaving = False
+                member.note_leaving(is_leaving=False, accepts_ms=0)
 
             statuses = await send_until_ended(first, leaving, forget_stop)
-            return statuses, leaving.target.aborted
+            refused = leaving.sidecar.counters.get("gate_refused_node_leaving")
+            return statuses, leaving.target.aborted, refused
 
-    statuses, cut_off = run_async(work)
+    statuses, cut_off, refused = run_async(work)
     assert_that(len(statuses), GreaterThan(40))
     assert_that((set(statuses), cut_off), Equals(({200}, 0)))
+    # Without refusals the node has received no call that it could not finish.
+    assert_that(refused, GreaterThan(10))
 
 
 ANSWER_BYTES = 8_000_000
