Open what asyncio has accepted before the server of a listener is closed

Cause: asyncio accepts a connection in one turn of the event loop and opens its transport in a later one. If its server is closed in between, it drops the connection without an answer: the client's request is reset, or waits until the process ends. Change: stopping a listener ends the kernel's listening and takes its queue; asyncio's server is closed four turns later. In serve/, a new connection without a request stays open for 0.1 s, as in mesh/.

--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -7,7 +7,7 @@
 from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
 from ..policy.clientmemory import ClientBudgets, make_caller_budgets
-from ..sockets import accept_queued
+from ..sockets import OPEN_TURNS, stop_listening
 from .connection import Connection
 from .messages import Handler, Request
 from .table import Limits
@@ -61,8 +61,7 @@
         self.is_closing = False
         self._server: asyncio.Server | None = None
         self._socket: socket.socket | None = None
-        self._arriving: set[asyncio.Task] = set()
-        """Connections that were taken from the accept queue on `stop`."""
+        self._closing: asyncio.Task | None = None
 
     async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
@@ -117,16 +116,23 @@
 
         Those that the kernel has accepted are open: their clients can't tell.
         """
-        if self._server is None or not self._server.is_serving():
-            return
-        queued = accept_queued(self._socket)
-        self._server.close()
-        for sock in queued:
-            task = self.loop.create_task(
-                self.loop.connect_accepted_socket(lambda: Connection(self), sock)
-            )
-            self._arriving.add(task)
-            task.add_done_callback(self._arriving.discard)
+        if self._server is not None and self._closing is None:
+            queued = stop_listening(self.loop, self._socket)
+            self._closing = self.loop.create_task(self._close(queued))
+
+    async def _close(self, queued: list[socket.socket]) -> None:
+        """Open the last connections, then close the server."""
+        opened = (
+            self.loop.connect_accepted_socket(lambda: Connection(self), sock)
+            for sock in queued
+        )
+        try:
+            # A connection that fails has no request.
+            await asyncio.gather(*opened, return_exceptions=True)
+            for _ in range(OPEN_TURNS):
+                await asyncio.sleep(0)
+        finally:
+            self._server.close()
 
 
 def _check_timeouts(connection: Connection, now: float, limits: Limits) -> None:
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -18,7 +18,12 @@
 from ..readbuffer import SharedBufferProtocol
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
-from ..sockets import accept_queued, count_unread_bytes, count_unsent_bytes
+from ..sockets import (
+    OPEN_TURNS,
+    count_unread_bytes,
+    count_unsent_bytes,
+    stop_listening,
+)
 from .asgi import MAX_DISCARDED_BYTES
 
 __all__ = ["Listener", "open_socket"]
@@ -26,12 +31,12 @@
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 MAX_CONTROL_CONNECTIONS = 200
+MIN_IDLE_SECONDS = 0.1
+"""Age below which a connection without a request stays open during a stop, as its
+first one may be about to arrive."""
 TLS_SECONDS = 0.5
 """Time for the TLS handshake of a connection that was not accepted before a stop; part
 of the time that a stop leaves for the last answers."""
-ACCEPT_TURNS = 4
-"""Turns of the event loop after which a connection that asyncio has accepted is known
-to its server: one each for its task, its transport and its protocol, and one more."""
 
 
 class _Flow(FlowControl):
@@ -67,6 +72,7 @@
         self._chunk_count = 0
         self._discarded = 0
         self._trailer_bytes = 0
+        self._opened_at = 0.0
         self.is_ending = False
         self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
 
@@ -80,16 +86,22 @@
         """Replace the flow control of uvicorn's protocol."""
         super().connection_made(transport)
         self._reader.transport = transport
+        self._opened_at = self.loop.time()
         self.flow = _Flow(self._reader)
 
     def shutdown(self) -> None:
         """Close the connection once its requests are served.
 
-        After a delay of the process, the first one may wait to be read.
+        After a delay of the process, the first one may wait to be read. On a new
+        connection, it may be about to arrive.
         """
         is_idle = self.cycle is None or self.cycle.response_complete
+        age = self.loop.time() - self._opened_at
         if is_idle and count_unread_bytes(self.transport):
             self.is_ending = True
+        elif self.cycle is None and age < MIN_IDLE_SECONDS:
+            self.is_ending = True
+            self.loop.call_later(MIN_IDLE_SECONDS, self.shutdown)
         else:
             super().shutdown()
 
@@ -186,23 +198,27 @@
         The connections that the kernel has accepted are served first: their clients
         can't tell that the process has not.
         """
-        queued = [connection for sock in sockets for connection in accept_queued(sock)]
-        for server in self.servers:
-            server.close()
         loop = asyncio.get_running_loop()
+        queued = []
+        for listener in sockets:
+            queued += stop_listening(loop, listener)
         opened = (
             loop.connect_accepted_socket(
                 self._make_ending_protocol,
-                connection,
+                sock,
                 ssl=self.config.ssl,
                 ssl_handshake_timeout=TLS_SECONDS if self.config.ssl else None,
             )
-            for connection in queued
+            for sock in queued
         )
-        # A connection that fails has no request.
-        await asyncio.gather(*opened, return_exceptions=True)
-        for _ in range(ACCEPT_TURNS):
+        opening = asyncio.gather(*opened, return_exceptions=True)
+        for _ in range(OPEN_TURNS):
+            # Responses in these turns tell the callers that their connections close.
+            for connection in list(self.server_state.connections):
+                connection.shutdown()
             await asyncio.sleep(0)
+        # A connection that fails has no request.
+        await opening
         await super().shutdown(sockets)
 
     def _make_ending_protocol(self) -> _Protocol:
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -9,12 +9,13 @@
 import termios
 
 __all__ = [
-    "accept_queued",
+    "OPEN_TURNS",
     "count_unread_bytes",
     "count_unsent_bytes",
     "discard_unsent",
     "enable_keepalive",
     "read_descriptor_limit",
+    "stop_listening",
 ]
 
 KEEPALIVE_IDLE_SECONDS = 1
@@ -25,16 +26,25 @@
 """Time for which sent bytes may stay unacknowledged: idle time plus probes."""
 MAX_QUEUED = 4096
 """Connections taken from one accept queue; the backlogs are shorter."""
+OPEN_TURNS = 4
+"""Turns of the event loop after which asyncio has opened what it has accepted: one each
+for its task, its transport and its protocol, and one more."""
 _INT_BYTES = 4
 
 
-def accept_queued(listener: socket.socket) -> list[socket.socket]:
-    """Return the connections in the accept queue of a non-blocking listening socket.
+def stop_listening(
+    loop: asyncio.AbstractEventLoop, listener: socket.socket
+) -> list[socket.socket]:
+    """Refuse new connections to a socket of an asyncio server; return those queued.
 
-    The kernel resets them when the socket is closed, although their clients may have
-    sent whole requests. What is connected after the last one of the queue and before
-    the close is still reset; hence callers close the socket at once.
+    The kernel resets the connections of the accept queue when the socket is closed,
+    although their clients may have sent whole requests. What is connected between the
+    last `accept` and `shutdown` is still reset.
+
+    The server must be closed `OPEN_TURNS` turns later: until then it has connections
+    that it has accepted and not opened, and drops them once it is closed.
     """
+    loop.remove_reader(listener)
     queued = []
     # Without a bound, clients that connect without end would hold up the caller.
     while len(queued) < MAX_QUEUED:
@@ -47,6 +57,7 @@
             break
         connection.setblocking(False)
         queued.append(connection)
+    listener.shutdown(socket.SHUT_RD)
     return queued
 
 
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -113,11 +113,16 @@
     assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
 
 
-def test_request_in_the_accept_queue_of_a_stopping_listener_is_answered():
+@pytest.mark.parametrize("turns", range(6))
+def test_request_on_a_connection_that_a_stopping_listener_has_not_opened_is_answered(
+    turns,
+):
     """The kernel reset connections that it had accepted and the process had not.
 
-    They are in the queue of the listening socket, which it drops on close. The client
-    had sent its whole request, and did not know whether it had run.
+    They are in the queue of the listening socket, which it drops on close. In the turns
+    of the event loop that follow, asyncio accepts them, and dropped those for which it
+    had no transport when the listener closed. The client had sent its whole request,
+    and did not know whether it had run.
     """
 
     async def serve(_request):
@@ -135,6 +140,8 @@
             client.sendall(render_request(b"GET", "/read/x", {}))
             client.setblocking(False)
             clients.append(client)
+        for _ in range(turns):
+            await asyncio.sleep(0)
         listener.is_closing = True
         listener.stop()
         answers = []
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -293,10 +293,13 @@
     assert_that(answer, Contains(b"connection: close"))
 
 
-def test_request_in_the_accept_queue_of_the_product_listener_is_answered():
+@pytest.mark.parametrize("turns", range(6))
+def test_request_that_the_product_listener_has_not_accepted_is_answered(turns):
     """The kernel reset connections that it had accepted and the process had not.
 
-    They are in the queue of the listening socket, which it drops on close.
+    They are in the queue of the listening socket, which it drops on close. In the turns
+    of the event loop that follow, asyncio accepts them, and dropped those for which it
+    had no transport when the listener closed.
     """
 
     async def serve(_scope, _receive, send):
@@ -312,9 +315,10 @@
         closing = listener._server.shutdown
 
         async def send_and_close(sockets):
-            # Connects and sends without a turn of the event loop before the close.
             client.connect((address.ip, address.port))
             client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            for _ in range(turns):
+                await asyncio.sleep(0)
             await closing(sockets)
 
         listener._server.shutdown = send_and_close
