A route without a measured latency has a third of its soft timeout as baseline

Cause: the baseline was derived from soft_timeout_ms of the plan's call, which is set only for each attempt and is 0 in the plan. With a baseline of 0, the first calls of a route saw no wait at any target. The explanation of a choice repeated the 0. Change: the plan has the soft timeout of the route (its timeout if it has none), and both use it.

--- a/cactusshed/explain/routes.py
+++ b/cactusshed/explain/routes.py
@@ -58,12 +58,12 @@
     handler: "CallerHandler", route: Route, query: RequestQuery
 ) -> ChoiceInputs:
     dispatcher = handler.dispatcher
+    soft_timeout = route.soft_timeout or route.timeout
     return ChoiceInputs(
         query.size,
         dispatcher.answer_sizes.get_bulk_bytes(route.name),
-        # The call of a plan has no soft timeout before its first attempt.
-        dispatcher.get_baseline_latency(route.name, 0),
-        route.soft_timeout if route.soft_timeout > 0 else route.timeout,
+        dispatcher.get_baseline_latency(route.name, soft_timeout),
+        soft_timeout,
         read_monotonic(),
     )
 
--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -205,6 +205,7 @@
             route.max_attempts,
             lambda: self.moves.choose_version(service),
             lambda version: self.moves.get_fallback_version(service, version),
+            route.soft_timeout or route.timeout,
         )
 
     def _estimate_elapsed(self, route: str, timeout: float) -> float:
--- a/cactusshed/mesh/callplan.py
+++ b/cactusshed/mesh/callplan.py
@@ -25,6 +25,8 @@
     """Returns the version that the call goes to; empty for any."""
     get_fallback_version: Callable[[str], str]
     """Returns the version to use when the chosen one has no capacity; may be empty."""
+    soft_timeout: float = 0.0
+    """Soft timeout of the route in seconds, or its timeout if it has none."""
 
 
 @attrs.define
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -93,12 +93,12 @@
         state.full_gates = 0
         return True
 
-    def get_baseline_latency(self, route: str, soft_timeout_ms: int) -> float:
+    def get_baseline_latency(self, route: str, soft_timeout: float) -> float:
         """Return the mean latency of a route in seconds.
 
         Without a measured latency, assume a third of the soft timeout.
         """
-        return self.baseline_latency.get(route, soft_timeout_ms / 3000)
+        return self.baseline_latency.get(route, soft_timeout / 3)
 
     def _choose(
         self, plan: CallPlan, state: DispatchState
@@ -108,9 +108,7 @@
         The node is `None` for the local target.
         """
         now = read_monotonic()
-        baseline_latency = self.get_baseline_latency(
-            plan.call.route, plan.call.soft_timeout_ms
-        )
+        baseline_latency = self.get_baseline_latency(plan.call.route, plan.soft_timeout)
         members = {
             candidate.name: (candidate, member)
             for candidate, member in self.candidates.list_open(
--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -14,6 +14,7 @@
 from cactusshed.control import EXIT_CODES, main
 from cactusshed.explain.answers import parse_query, serve_explanation
 from cactusshed.explain.messages import RouteExplanation
+from cactusshed.mesh import dispatch
 from cactusshed.mesh import sidecar as sidecar_module
 from cactusshed.mesh.messages import Request
 from cactusshed.mesh.moves import TrackedMove
@@ -113,6 +114,30 @@
     }
 
 
+def test_first_call_of_a_route_has_a_baseline(monkeypatch):
+    """The baseline of a route without a measured latency was 0.
+
+    Its first calls saw no wait at any target, however many requests ran there, and the
+    explanation said the same. A third of the soft timeout is assumed.
+    """
+    baselines = []
+
+    def order_and_note(options, baseline_latency, *rest):
+        baselines.append(baseline_latency)
+        return order_candidates(options, baseline_latency, *rest)
+
+    monkeypatch.setattr(dispatch, "order_candidates", order_and_note)
+
+    async def work():
+        async with open_fleet("a1", "a2") as (_, (node, _other)):
+            explained = explain(node).baseline_latency
+            await node.request("/read/x")
+            return explained
+
+    explained = run_async(work)
+    assert_that((explained, baselines[0]), Equals((0.3 / 3, 0.3 / 3)))
+
+
 def test_explaining_changes_nothing():
     """A real request after it would otherwise see other loads or random numbers.
 
