A frame that neither Inbound nor Peers handles is logged and dropped

Cause: each of the two passed frames that it did not handle to the other, so a frame that neither of them knows was passed back and forth until the recursion limit. No frame of today does that; one that a later change forgets would. Change: Inbound passes on only what Peers handles, and logs frame-unknown otherwise.

--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -35,6 +35,7 @@
 from .gate import Gate
 from .link import Link
 from .moves import Moves
+from .peers import PeerFrame
 from .relay import Relay
 
 if TYPE_CHECKING:
@@ -98,8 +99,11 @@
         elif isinstance(frame, UsageHolder | UsageTotals | UsageReceipt):
             if self.usage is not None:
                 self.usage.handle(link.send, frame)
-        else:
+        elif isinstance(frame, PeerFrame):
             self.handle_other(link, frame)
+        else:
+            # `handle_other` would pass it back.
+            log_line("frame-unknown", member=link.peer, frame=type(frame).__name__)
 
     def _start_body(self, link: Link, call: Call) -> None:
         if self.bodies.start(link, call):
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -25,8 +25,10 @@
 from .member import Member
 from .pending import PendingCalls
 
-__all__ = ["Peers"]
+__all__ = ["PeerFrame", "Peers"]
 
+PeerFrame = Result | BodyPart | Silence | Hello | StateUpdate
+"""Frames that `Peers.handle` handles itself."""
 MIN_REDIAL_SECONDS = 0.1
 MAX_REDIAL_SECONDS = 1.0
 """Longest pause between two dials, hence the time to find a restarted node."""
