The text of a stored row does not show its value

Cause: repr of the row of a configuration contained the API keys of the tenants, and such texts get into error messages and logs. Change: the value is left out of the repr. Result: the new test failed before and passes; tests/test_tenants.py and tests/test_records.py pass.

--- a/cactusshed/platform/storedrows.py
+++ b/cactusshed/platform/storedrows.py
@@ -24,7 +24,8 @@
 
     table: str
     key: str
-    value: bytes
+    value: bytes = attrs.field(repr=False)
+    """Not shown: the row of a configuration contains the keys of the tenants."""
     version: int
     is_deleted: bool = False
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -66,6 +66,13 @@
 # Documents.
 
 
+def test_text_of_a_stored_row_shows_no_key():
+    """The text of a row gets into error messages; the keys must not."""
+    row = make_row(make_tenant_document(1))
+    assert_that(ACME_KEY in row.value, Equals(True))
+    assert_that(repr(row), Not(Contains(KEYS["acme"])))
+
+
 def test_document_without_tenants_gives_a_table_without():
     """Nodes must tell a configuration without the feature from one without tenants."""
     assert_that(decode(make_document(1, {"/a/": {}}, ["a"])).tenants, Is(None))
