Keep one definition of ticket states and refusals

Cause: TicketState and Refusal were defined identically in policy/tickets.py and policy/admission.py. Change: policy/admission.py uses those of policy/tickets.py. Ticket stays defined in both: the fields differ except for deadline, may_wait, state and refusal, and a queue of one accepts no ticket of the other. Result: the tests of both queues pass.

--- a/cactusshed/policy/admission.py
+++ b/cactusshed/policy/admission.py
@@ -3,38 +3,20 @@
 import math
 from collections import deque
 from collections.abc import Iterator
-from enum import Enum
 
 import attrs
 
 from ..tree.keys import CLASSES
 from ..tree.table import Limits
+from .tickets import Refusal, TicketState
 from .warmup import Warmup
 
-__all__ = ["Gate", "Refusal", "Ticket", "TicketState"]
+__all__ = ["Gate", "Ticket"]
 
 RETRY_AFTER_SECONDS = 0.25
 """Retry delay advised to a caller when the queue is full."""
 
 
-class TicketState(Enum):
-    """State of a ticket."""
-
-    NEW = "new"
-    RUNNING = "running"
-    WAITING = "waiting"
-    REFUSED = "refused"
-    DONE = "done"
-
-
-@attrs.frozen
-class Refusal:
-    """Reason why a call was not admitted and the advised retry delay in seconds."""
-
-    code: str
-    retry_after: float = 0.0
-
-
 @attrs.define(eq=False)
 class Ticket:
     """One call at the gate; times are in monotonic seconds.
--- a/cactusshed/policy/tickets.py
+++ b/cactusshed/policy/tickets.py
@@ -1,4 +1,4 @@
-"""Requests at a gate of `mesh`, as its admission queue sees them."""
+"""Requests at a gate of `mesh`, and their states and refusals, also used in `serve`."""
 
 from enum import Enum
 
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Refusal:
-    """Reason why a request was not admitted and the advised retry delay in seconds."""
+    """Why a request was not admitted, and the advised retry delay in seconds."""
 
     code: str
     retry_after: float = 0.0
--- a/cactusshed/serve/gates.py
+++ b/cactusshed/serve/gates.py
@@ -10,8 +10,9 @@
 from ..observe.counters import Counters
 from ..observe.events import log_event
 from ..observe.tallies import Tallies, TallyKey
-from ..policy.admission import Gate, Ticket, TicketState
+from ..policy.admission import Gate, Ticket
 from ..policy.callrecords import CallRecords, CallState, measure_answer
+from ..policy.tickets import TicketState
 from ..spread.activeversion import ActiveVersion
 from ..tree.table import Limits
 from .headers import filter_end_to_end
--- a/cactusshed/serve/servedtarget.py
+++ b/cactusshed/serve/servedtarget.py
@@ -9,7 +9,8 @@
 from ..clock import read_monotonic
 from ..member.announcements import LocalTarget
 from ..observe.events import log_event
-from ..policy.admission import Gate, Ticket, TicketState
+from ..policy.admission import Gate, Ticket
+from ..policy.tickets import TicketState
 from ..tree.table import Limits
 from . import headers as header_names
 from .connection import make_request
--- a/tests/test_gate_machine.py
+++ b/tests/test_gate_machine.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from cactusshed.policy.admission import Gate, Ticket, TicketState
+from cactusshed.policy.admission import Gate, Ticket
+from cactusshed.policy.tickets import TicketState
 from cactusshed.tree.keys import CLASSES
 from cactusshed.tree.table import Limits
 
