A request without a known key gets 401 before its body is received

Cause: the tenant of a request was determined once the whole request had arrived, so the body of one that is refused was received, and memory was reserved for it. With expect: 100-continue the client was even asked for it. Change: a listener asks its handler about each head that a body follows.

--- a/cactusshed/mesh/callers.py
+++ b/cactusshed/mesh/callers.py
@@ -28,7 +28,7 @@
 from .table import Route
 from .upstream import HOP_BY_HOP_HEADERS, Headers
 
-__all__ = ["CallerHandler", "choose_service"]
+__all__ = ["CallerHandler"]
 
 RESULT_GRACE_SECONDS = 0.06
 """Time past the deadline for which a gate's own result is awaited."""
@@ -56,17 +56,6 @@
 """Names the way of authentication, which responses with 401 must do."""
 
 
-def choose_service(route: Route, point: float) -> str:
-    """Return the service for `point`, a random number from 0 to 1, by weight."""
-    total = sum(weighted_service.weight for weighted_service in route.weighted_services)
-    cumulative = 0.0
-    for weighted_service in route.weighted_services:
-        cumulative += weighted_service.weight / total if total else 0.0
-        if point < cumulative:
-            return weighted_service.service
-    return route.weighted_services[-1].service
-
-
 @attrs.define
 class CallerHandler:
     """Serves the requests of callers."""
@@ -89,10 +78,26 @@
         route = self._find_route(request)
         return route is None or route.idempotent
 
+    def _find_parent(self, request_id: bytes) -> RunningCall | None:
+        return self.dispatcher.gate.crash_tracker.find_parent(request_id)
+
+    def refuse_head(self, request: Request) -> Response | None:
+        """Return the response to a request that gets 401 whatever its body is."""
+        if self.records.table.tenants is None:
+            return None
+        route = self._find_route(request)
+        if route is None:
+            return None
+        parent = self._find_parent(request.find(header_names.ATTEMPT_ID) or b"")
+        refusal = self._decide_tenancy(request, route, parent).refusal
+        if refusal is None or refusal is Refusal.PARENT_GONE:
+            return None
+        return self._refuse_tenancy(refusal, request, route)
+
     async def serve(self, request: Request) -> Response:
         """Serve one request."""
         request_id = request.find(header_names.ATTEMPT_ID) or b""
-        parent = self.dispatcher.gate.crash_tracker.find_parent(request_id)
+        parent = self._find_parent(request_id)
         if parent is not None:
             parent.unsuccessful_calls += 1
             parent.has_made_calls = True
@@ -165,7 +170,7 @@
         # arrived and while the request waited behind others of its connection.
         now = request.started
         timeout = min(_read_timeout(request, route.timeout), route.timeout)
-        service = choose_service(route, self.rng.random())
+        service = route.choose_service(self.rng.random())
         has_tenants = self.records.table.tenants is not None
         request_id = request.find(header_names.ATTEMPT_ID)
         call = Call(
--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -10,7 +10,7 @@
 from ..parseturns import PacedReader
 from ..policy.bodybudget import RETRY_SECONDS
 from ..readbuffer import SharedBufferProtocol
-from ..requestparser import RequestParser, find_violation
+from ..requestparser import RequestParser, find_violation, has_body
 from ..sockets import count_unread_bytes
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
@@ -74,6 +74,8 @@
         self._in_body = False
         self.read_in_bulk(False)
         self._refusal_status = 0
+        self._head_response: Response | None = None
+        """Response to a request whose body is not received yet."""
 
     @property
     def is_busy(self) -> bool:
@@ -150,7 +152,10 @@
         try:
             self._parser.feed_data(data)
             self._count_body()
-            if self.request_started is not None:
+            if self._head_response is not None:
+                # The body was not received with the head, and is not waited for.
+                self._end_with(self._head_response)
+            elif self.request_started is not None:
                 self._meter.check(len(self._headers), in_body=self._in_body)
         except (TooManyBytes, httptools.HttpParserError):
             self._refuse(self._meter.refusal_status or self._refusal_status or 400)
@@ -185,6 +190,11 @@
         if self._refusal_status:
             raise ValueError(self._refusal_status)
         self._meter.check_head(self._url, self._headers)
+        if has_body(self._headers):
+            head = Request(self._parser.get_method(), self._url, self._headers)
+            self._head_response = self._listener.refuse_head(head)
+            if self._head_response is not None:
+                return
         for name, value in self._headers:
             if name == b"content-length":
                 self._meter.reserve(int(value))
@@ -228,10 +238,11 @@
             *self._meter.end_request(),
         )
         keep_alive = self._parser.should_keep_alive()
+        response = self._head_response
         self.request_started = None
         self.has_served = True
         self._reset()
-        self._pipeline.add(request, keep_alive=keep_alive)
+        self._pipeline.add(request, keep_alive=keep_alive, response=response)
         if self._pipeline.is_full and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
@@ -264,13 +275,17 @@
     def _refuse(self, status: int) -> None:
         """Refuse unreadable input after the requests before it, and close."""
         path = self._url[:80]
-        self._drop_input()
         self._listener.on_refused(status)
         headers = []
         if status == 503:
             log_line("no-memory", path=path)
             headers.append((b"retry-after", b"%.3f" % RETRY_SECONDS))
-        self._pipeline.add_refusal(make_response(status, headers=headers))
+        self._end_with(make_response(status, headers=headers))
+
+    def _end_with(self, response: Response) -> None:
+        """Drop all input, and close after `response` and those before it."""
+        self._drop_input()
+        self._pipeline.add_refusal(response)
 
     def time_out(self) -> None:
         """Refuse a request that arrives too slowly."""
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -9,7 +9,7 @@
 from ..policy.clientmemory import ClientBudgets, make_caller_budgets
 from ..sockets import OPEN_TURNS, stop_listening
 from .connection import Connection
-from .messages import Handler, Request
+from .messages import Handler, Request, Response
 from .table import Limits
 
 __all__ = ["Listener"]
@@ -42,17 +42,21 @@
         body_budget: BodyBudget | None = None,
         budgets: ClientBudgets | None = None,
         on_evicted: Callable[[str], None] = lambda _reason: None,
+        refuse_head: Callable[[Request], Response | None] = lambda _head: None,
     ) -> None:
         """Create a listener that is not open yet.
 
         `on_refused` is called with the status of each refused request. Requests of
         one connection run at the same time if `is_safe` returns true for them.
         `on_evicted` is called with the reason for each client that gives way to others.
+        `refuse_head` is called with each request that has a body, before the body; it
+        returns the response if there is one already.
         """
         self.serve = serve
         self.limits = limits
         self.on_refused = on_refused
         self.is_safe = is_safe
+        self.refuse_head = refuse_head
         self.body_budget = body_budget or BodyBudget(CONTROL_BODY_BYTES)
         self.loop = asyncio.get_running_loop()
         budgets = budgets or make_caller_budgets(DEFAULT_MEMORY, DEFAULT_DESCRIPTORS)
--- a/cactusshed/mesh/messages.py
+++ b/cactusshed/mesh/messages.py
@@ -21,9 +21,9 @@
     method: bytes
     path: bytes
     headers: Headers
-    body: bytes
-    arrived: float
-    started: float
+    body: bytes = b""
+    arrived: float = 0.0
+    started: float = 0.0
     reserved_bytes: int = 0
     """Bytes that its listener has reserved for the body."""
     head_cost: int = 0
--- a/cactusshed/mesh/pipeline.py
+++ b/cactusshed/mesh/pipeline.py
@@ -76,13 +76,18 @@
         """Return whether reading should pause."""
         return len(self._dispatched) + len(self._waiting) >= MAX_READ_AHEAD
 
-    def add(self, request: Request, *, keep_alive: bool) -> None:
-        """Add a request; without `keep_alive` it is the last one."""
+    def add(
+        self, request: Request, *, keep_alive: bool, response: Response | None = None
+    ) -> None:
+        """Add a request; without `keep_alive` it is the last one.
+
+        With a `response`, it is not dispatched.
+        """
         if self._is_ended:
             self.drop(request)
             return
         self._is_ended = not keep_alive
-        self._waiting.append(_Entry(request, keep_alive))
+        self._waiting.append(_Entry(request, keep_alive, response=response))
         self._advance()
 
     def add_refusal(self, response: Response) -> None:
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -363,6 +363,7 @@
         listeners = []
         caller_options = {
             "is_safe": caller_handler.is_safe,
+            "refuse_head": caller_handler.refuse_head,
             "body_budget": self.request_budget,
             "budgets": self.caller_budgets,
         }
--- a/cactusshed/mesh/table.py
+++ b/cactusshed/mesh/table.py
@@ -44,6 +44,16 @@
     is_public: bool = False
     """Whether requests are served without the key of a tenant."""
 
+    def choose_service(self, point: float) -> str:
+        """Return the service for `point`, a random number from 0 to 1, by weight."""
+        total = sum(weighted.weight for weighted in self.weighted_services)
+        cumulative = 0.0
+        for weighted in self.weighted_services:
+            cumulative += weighted.weight / total if total else 0.0
+            if point < cumulative:
+                return weighted.service
+        return self.weighted_services[-1].service
+
 
 @attrs.frozen
 class Service:
--- a/cactusshed/requestparser.py
+++ b/cactusshed/requestparser.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-__all__ = ["RequestParser", "find_violation", "has_unknown_coding"]
+__all__ = ["RequestParser", "find_violation", "has_body", "has_unknown_coding"]
 
 Headers = Iterable[tuple[bytes, bytes]]
 """Names, in lower case, and values of headers."""
@@ -24,6 +24,14 @@
     )
 
 
+def has_body(headers: Headers) -> bool:
+    """Return whether a body follows the head of a request."""
+    return any(
+        name == b"transfer-encoding" or (name == b"content-length" and int(value) > 0)
+        for name, value in headers
+    )
+
+
 def find_violation(headers: Headers) -> int:
     """Return the status that refuses a complete head, 0 if there is no reason to."""
     if has_unknown_coding(headers):
--- a/tests/test_tenants_mesh.py
+++ b/tests/test_tenants_mesh.py
@@ -8,7 +8,14 @@
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan, LessThan, Not
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    LessThan,
+    Not,
+    StartsWith,
+)
 
 from cactusshed.clock import read_monotonic
 from cactusshed.mesh import bodyparts, link
@@ -30,6 +37,8 @@
 from .tenantdocuments import KEYS, make_tenant_document
 
 ACME, BOLT = KEYS["acme"], KEYS["bolt"]
+HEAD_SECONDS = 0.1
+"""Pause between a head and its body."""
 
 
 @asynccontextmanager
@@ -495,6 +504,59 @@
     assert_that(lines[0]["cause"], Equals("no_key"))
 
 
+@pytest.mark.parametrize("key", ["unknown", None])
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"content-length: 50000",
+        b"transfer-encoding: chunked",
+        b"content-length: 50000\r\nexpect: 100-continue",
+    ],
+)
+def test_request_with_an_unknown_key_is_refused_before_its_body(key, headers):
+    """Its body was received and held until the 401, at the cost of other clients."""
+
+    async def work():
+        async with open_fleet("n1") as (_, (node,)):
+            callers = node.settings.callers
+            reader, writer = await asyncio.open_connection(callers.ip, callers.port)
+            fields = {"x_credential": key} if key else {}
+            head = render_request(b"GET", "/read/x", fields).removesuffix(b"\r\n")
+            writer.write(head.replace(b"GET", b"POST") + headers + b"\r\n\r\n")
+            # The client sends no body, so it waits until the node ends the connection.
+            answer = await reader.read()
+            writer.close()
+            counters = node.sidecar.counters
+            refused = counters.get(f"refused_{'unknown_key' if key else 'no_key'}")
+            return answer, refused, node.target.runs.total()
+
+    answer, refused, runs = run_async(work)
+    assert_that(answer, StartsWith(b"HTTP/1.1 401 "))
+    assert_that(answer, Contains(b"connection: close"))
+    assert_that((refused, runs), Equals((1, 0)))
+
+
+@pytest.mark.parametrize("path", ["/open/x", "/read/x"])
+def test_body_behind_its_head_is_received_unless_the_key_is_unknown(path):
+    """Public routes need no key, and a known key is no reason to close."""
+
+    async def work():
+        async with open_fleet("n1") as (_, (node,)):
+            callers = node.settings.callers
+            reader, writer = await asyncio.open_connection(callers.ip, callers.port)
+            fields = {"x_credential": ACME if path == "/read/x" else "unknown"}
+            data = render_request(b"POST", path, fields, b"b" * 50_000)
+            writer.write(data[:-50_000])
+            # The node reads the head alone.
+            await asyncio.sleep(HEAD_SECONDS)
+            writer.write(data[-50_000:])
+            answer = await reader.readline()
+            writer.close()
+            return answer
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
+
+
 def test_refusals_are_no_connection_errors():
     """A response with 401 keeps the connection, and names the way of authentication."""
 
@@ -503,9 +565,10 @@
             client = await open_client(node)
             answer = await client.exchange(render_request(b"POST", "/read/x", {}, b"b"))
             is_closed = client.is_closed
-            return answer.status, answer.find(b"www-authenticate"), is_closed
+            count = node.sidecar.counters.get("refused_no_key")
+            return answer.status, answer.find(b"www-authenticate"), is_closed, count
 
-    assert_that(run_async(work), Equals((401, b"ApiKey", False)))
+    assert_that(run_async(work), Equals((401, b"ApiKey", False, 1)))
 
 
 def test_hundreds_of_tenants_are_served_and_counted():
