A stopping node answers what has reached its other listeners

Cause: the listeners for targets, probes and operators were open until the process ended, so requests that were in their accept queues, unread or being served were reset.

--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 
@@ -18,6 +19,7 @@
     "EXIT_SECONDS",
     "STOP_MARGIN_SECONDS",
     "await_readers",
+    "close_listeners",
     "drain",
     "remove_row",
 ]
@@ -120,6 +122,27 @@
     log_line("drained", requests=listener.count_busy(), calls=inbound.running)
 
 
+async def close_listeners(listeners: Iterable[Listener], killed_at: float) -> None:
+    """Answer what has arrived at the listeners of targets, probes and operators.
+
+    `killed_at` is the monotonic time of the SIGKILL.
+    """
+    listeners = list(listeners)
+    for listener in listeners:
+        listener.is_closing = True
+        listener.stop()
+    now = read_monotonic()
+    end = min(now + LAST_ANSWERS_SECONDS, killed_at - EXIT_SECONDS)
+    polls = _Polls()
+    quiet_polls = 0
+    while quiet_polls < QUIET_POLLS and polls.may_continue(end):
+        for listener in listeners:
+            listener.close_idle(MIN_IDLE_SECONDS)
+        is_quiet = not any(listener.connections for listener in listeners)
+        quiet_polls = quiet_polls + 1 if is_quiet else 0
+        await polls.wait()
+
+
 async def await_readers(readers: ReaderProgress, killed_at: float) -> None:
     """Wait for clients that still read, until the process must exit.
 
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -48,6 +48,7 @@
     EXIT_SECONDS,
     STOP_MARGIN_SECONDS,
     await_readers,
+    close_listeners,
     drain,
     remove_row,
 )
@@ -317,7 +318,7 @@
         gc.freeze()
         try:
             await stop.wait()
-            await self._shut_down(listeners[0])
+            await self._shut_down(*listeners)
         finally:
             for task in tasks:
                 task.cancel()
@@ -405,7 +406,7 @@
     def _count_evicted(self, reason: str) -> None:
         self.counters.add(f"evicted_{reason}")
 
-    async def _shut_down(self, listener: Listener) -> None:
+    async def _shut_down(self, listener: Listener, *others: Listener) -> None:
         """Announce the shutdown to peers and drain clients and running calls."""
         now = read_monotonic()
         killed_at = now + self.settings.bounds.grace
@@ -424,3 +425,4 @@
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
         await await_readers(readers, killed_at)
+        await close_listeners(others, killed_at)
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -11,6 +11,7 @@
 from testtools.matchers import Equals, StartsWith
 
 from cactusshed.clock import read_monotonic
+from cactusshed.mesh import shutdown, sidecar
 from cactusshed.mesh.listener import Listener
 from cactusshed.mesh.messages import make_response
 from cactusshed.mesh.shutdown import (
@@ -258,3 +259,44 @@
         return listener.running
 
     assert_that(run_async(work), Equals(0))
+
+
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_announcement_at_the_end_of_a_stop_is_answered(is_accepted):
+    """A stopping node ended with an announcement of its target unread or unanswered.
+
+    Its listeners for targets, probes and operators stay open until the process ends.
+    """
+
+    async def work():
+        fleet = await MeshFleet.open()
+        fleet.store.put_json("op", "config", make_document(1, {"/read/": {}}, ["a"]))
+        try:
+            (node,) = await fleet.start_connected("n1")
+            address = node.settings.announcements
+            body = b"{}"
+            path = f"/cactusshed/rpc?call=instances.heartbeat&of={node.target.instance}"
+            with socket.socket() as client:
+                drained = shutdown.await_readers
+
+                async def send_and_await(*args):
+                    await drained(*args)
+                    client.connect((address.ip, address.port))
+                    client.sendall(render_request(b"POST", path, {}, body))
+                    for _ in range(4 * is_accepted):
+                        await asyncio.sleep(0)
+
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(sidecar, "await_readers", send_and_await)
+                    await node.shut_down()
+                # The process would end now.
+                client.setblocking(False)
+                try:
+                    return client.recv(1000)
+                except OSError:
+                    # Reset, or nothing received.
+                    return b""
+        finally:
+            await fleet.close()
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 "))
