A pause of the process is no stall of its readers, nor the end of a stop

Cause: after a pause (SIGSTOP), a planned stop took readers to which nothing was sent in the pause for stalled. The stop of the product's listeners ended without reading what had arrived if its time was over. Change: the part of a gap between two counts that exceeds 0.5 s does not count as time without progress; stop_listeners continues for 0.5 s after a pause, six times at most.

--- a/cactusshed/drain.py
+++ b/cactusshed/drain.py
@@ -18,6 +18,14 @@
 may run before the requests that arrived meanwhile are read."""
 STOP_SECONDS = 2.0
 """Time for the last answers while connections are being closed."""
+PAUSE_SECONDS = 0.1
+"""Duration of a poll from which the process was paused: five times the usual one."""
+MAX_PAUSES = 6
+"""Pauses for which a stop takes longer. A host on which each poll takes as long as a
+pause must not hold up the exit."""
+AFTER_PAUSE_SECONDS = 0.5
+"""Time for these answers after a pause of the process: the listeners notice the stop
+within 0.1 s, and end within 0.2 s of their last answer."""
 
 
 async def wait_idle(
@@ -45,12 +53,18 @@
     for listener in listeners:
         listener.stop()
     readers = ReaderProgress([listener.list_unsent for listener in listeners])
-    now = last_reading = read_monotonic()
+    now = read_monotonic()
     end = now + limit
-    while now < last_reading + STOP_SECONDS:
+    stop_by = now + STOP_SECONDS
+    pauses = 0
+    while now < stop_by:
         if all(listener.ended.is_set() for listener in listeners):
             return
         if readers.count_reading(now) and now < end:
-            last_reading = now
+            stop_by = now + STOP_SECONDS
         await anyio.sleep(POLL_SECONDS)
-        now = read_monotonic()
+        before, now = now, read_monotonic()
+        if now - before >= PAUSE_SECONDS and pauses < MAX_PAUSES:
+            # What arrived in the pause is not read yet.
+            pauses += 1
+            stop_by = max(stop_by, now + AFTER_PAUSE_SECONDS)
--- a/cactusshed/policy/plannedstop.py
+++ b/cactusshed/policy/plannedstop.py
@@ -16,6 +16,9 @@
 end before clients have noticed the shutdown, so they don't prolong it."""
 STALL_SECONDS = 1.0
 """Time without progress after which a reader is taken to have stopped reading."""
+MAX_GAP_SECONDS = 0.5
+"""Time between two counts from which the process was paused. Nothing was sent in the
+rest of the gap, so it is no time in which a reader could make progress."""
 
 
 @attrs.define
@@ -66,16 +69,19 @@
     They are not slow: nothing is sent to them as long as others have their turn."""
     _seen: dict[Hashable, tuple[int, float]] = attrs.Factory(dict)
     """Unsent bytes of each reader, and the time at which they last became fewer."""
+    _counted_at: float = float("inf")
 
     def count_reading(self, now: float) -> int:
         """Return the number of readers that made progress lately."""
         before, self._seen = self._seen, {}
         waiting = frozenset(self.list_waiting())
+        paused = max(0.0, now - self._counted_at - MAX_GAP_SECONDS)
+        self._counted_at = now
         for source in self.sources:
             for reader, size in source():
                 if not size:
                     continue
                 known_size, since = before.get(reader, (size, now))
                 has_progress = size < known_size or reader in waiting
-                self._seen[reader] = (size, now if has_progress else since)
+                self._seen[reader] = (size, now if has_progress else since + paused)
         return sum(now - since < STALL_SECONDS for _, since in self._seen.values())
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -336,6 +336,40 @@
     assert_that(answer, Contains(b"connection: close"))
 
 
+def test_request_that_arrives_in_a_pause_of_the_product_node_is_answered():
+    """A process was stopped and continued once its time to close listeners was over.
+
+    It ended at once, with a request that it had not read.
+    """
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        await wait_for(lambda: listener._server.started)
+        stopping = asyncio.create_task(stop_listeners([listener], 0.0))
+        await asyncio.sleep(0)
+        with socket.create_connection((address.ip, address.port)) as client:
+            client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            time.sleep(STOP_LISTENERS_SECONDS + 0.1)
+            await stopping
+            # The process would end now.
+            client.setblocking(False)
+            try:
+                answer = client.recv(1000)
+            except OSError:
+                # Reset, or nothing received.
+                answer = b""
+        await running
+        return answer
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
+
+
 def test_calls_that_arrived_while_the_node_was_held_up_are_awaited():
     """The product's node closed its listeners before it had read them.
 
