--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -48,6 +48,7 @@
     EXIT_SECONDS,
     STOP_MARGIN_SECONDS,
     await_readers,
+    close_listeners,
     drain,
     remove_row,
 )
@@ -317,7 +318,7 @@
         gc.freeze()
         try:
             await stop.wait()
-            await self._shut_down(listeners[0])
+            await self._shut_down(*listeners)
         finally:
             for task in tasks:
                 task.cancel()
@@ -363,6 +364,7 @@
         listeners = []
         caller_options = {
             "is_safe": caller_handler.is_safe,
+            "refuse_head": caller_handler.refuse_head,
             "body_budget": self.request_budget,
             "budgets": self.caller_budgets,
         }
@@ -404,7 +406,7 @@
     def _count_evicted(self, reason: str) -> None:
         self.counters.add(f"evicted_{reason}")
 
-    async def _shut_down(self, listener: Listener) -> None:
+    async def _shut_down(self, listener: Listener, *others: Listener) -> None:
         """Announce the shutdown to peers and drain clients and running calls."""
         now = read_monotonic()
         killed_at = now + self.settings.bounds.grace
@@ -414,10 +416,13 @@
         self._broadcast_state()
         if self.usage is not None:
             self.usage.prepare_stop()
-        readers = ReaderProgress((listener.list_unsent, self.peers.list_unsent))
+        readers = ReaderProgress(
+            (listener.list_unsent, self.peers.list_unsent), self.peers.list_waiting
+        )
         await drain(listener, self.inbound, self.planned_stop, readers)
         if self.usage is not None:
             await self.usage.finish(killed_at - EXIT_SECONDS - read_monotonic())
         if self.announcements.state.leave_acknowledged:
             await remove_row(self.store_sync, killed_at)
         await await_readers(readers, killed_at)
+        await close_listeners(others, killed_at)
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -1,5 +1,6 @@
 """HTTP listeners: uvicorn servers that share one process and handle no signals."""
 
+import asyncio
 import contextlib
 import logging
 import socket
@@ -17,7 +18,12 @@
 from ..readbuffer import SharedBufferProtocol
 from ..requestparser import RequestParser, has_unknown_coding
 from ..settings import Settings
-from ..sockets import count_unread_bytes, count_unsent_bytes
+from ..sockets import (
+    OPEN_TURNS,
+    count_unread_bytes,
+    count_unsent_bytes,
+    stop_listening,
+)
 from .asgi import MAX_DISCARDED_BYTES
 
 __all__ = ["Listener", "open_socket"]
@@ -25,6 +31,12 @@
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 MAX_CONTROL_CONNECTIONS = 200
+MIN_IDLE_SECONDS = 0.1
+"""Age below which a connection without a request stays open during a stop, as its
+first one may be about to arrive."""
+TLS_SECONDS = 0.5
+"""Time for the TLS handshake of a connection that was not accepted before a stop; part
+of the time that a stop leaves for the last answers."""
 
 
 class _Flow(FlowControl):
@@ -60,7 +72,8 @@
         self._chunk_count = 0
         self._discarded = 0
         self._trailer_bytes = 0
-        self._is_ending = False
+        self._opened_at = 0.0
+        self.is_ending = False
         self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
 
     def _make_parser(self) -> httptools.HttpRequestParser:
@@ -73,16 +86,22 @@
         """Replace the flow control of uvicorn's protocol."""
         super().connection_made(transport)
         self._reader.transport = transport
+        self._opened_at = self.loop.time()
         self.flow = _Flow(self._reader)
 
     def shutdown(self) -> None:
         """Close the connection once its requests are served.
 
-        After a delay of the process, the first one may wait to be read.
+        After a delay of the process, the first one may wait to be read. On a new
+        connection, it may be about to arrive.
         """
         is_idle = self.cycle is None or self.cycle.response_complete
+        age = self.loop.time() - self._opened_at
         if is_idle and count_unread_bytes(self.transport):
-            self._is_ending = True
+            self.is_ending = True
+        elif self.cycle is None and age < MIN_IDLE_SECONDS:
+            self.is_ending = True
+            self.loop.call_later(MIN_IDLE_SECONDS, self.shutdown)
         else:
             super().shutdown()
 
@@ -154,7 +173,7 @@
         # A body of known length has no chunks that wait for turns.
         self.read_in_bulk(any(n == b"content-length" for n, _ in self.headers))
         super().on_headers_complete()
-        if self._is_ending:
+        if self.is_ending:
             self.cycle.keep_alive = False
 
     def on_message_complete(self) -> None:
@@ -173,6 +192,45 @@
         """Install no signal handlers."""
         return contextlib.nullcontext()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop accepting, and end after the running requests.
+
+        The connections that the kernel has accepted are served first: their clients
+        can't tell that the process has not.
+        """
+        loop = asyncio.get_running_loop()
+        queued = []
+        for listener in sockets:
+            queued += stop_listening(loop, listener)
+        opened = (
+            loop.connect_accepted_socket(
+                self._make_ending_protocol,
+                sock,
+                ssl=self.config.ssl,
+                ssl_handshake_timeout=TLS_SECONDS if self.config.ssl else None,
+            )
+            for sock in queued
+        )
+        opening = asyncio.gather(*opened, return_exceptions=True)
+        for _ in range(OPEN_TURNS):
+            # Responses in these turns tell the callers that their connections close.
+            for connection in list(self.server_state.connections):
+                connection.shutdown()
+            await asyncio.sleep(0)
+        # A connection that fails has no request.
+        await opening
+        await super().shutdown(sockets)
+
+    def _make_ending_protocol(self) -> _Protocol:
+        """Return the protocol of a connection that closes after its first response."""
+        protocol = _Protocol(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        protocol.is_ending = True
+        return protocol
+
 
 def open_socket(address: Address) -> socket.socket:
     """Return a listening socket at `address`."""
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -11,6 +11,7 @@
 from testtools.matchers import Equals, StartsWith
 
 from cactusshed.clock import read_monotonic
+from cactusshed.mesh import shutdown, sidecar
 from cactusshed.mesh.listener import Listener
 from cactusshed.mesh.messages import make_response
 from cactusshed.mesh.shutdown import (
@@ -30,6 +31,9 @@
 """Time for which the machine gives the process no time; above `loss_slack`, the time
 after which an unanswered request counts as lost."""
 BEFORE_END_SECONDS = 0.1
+DRAIN_SECONDS = 0.2
+QUEUED_CONNECTIONS = 20
+"""More than asyncio takes from the kernel in one turn."""
 
 
 @pytest.mark.parametrize("work_seconds", [0.0, LAST_ANSWERS_SECONDS + 0.4])
@@ -110,6 +114,97 @@
     assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
 
 
+@pytest.mark.parametrize("turns", range(6))
+def test_request_on_a_connection_that_a_stopping_listener_has_not_opened_is_answered(
+    turns,
+):
+    """The kernel reset connections that it had accepted and the process had not.
+
+    They are in the queue of the listening socket, which it drops on close. In the turns
+    of the event loop that follow, asyncio accepts them, and dropped those for which it
+    had no transport when the listener closed. The client had sent its whole request,
+    and did not know whether it had run.
+    """
+
+    async def serve(_request):
+        return make_response(503)
+
+    async def work():
+        listener = Listener(serve, Limits, lambda status: None)
+        port = choose_port()
+        await listener.open("127.0.0.1", port)
+        loop = asyncio.get_running_loop()
+        clients = []
+        for _ in range(QUEUED_CONNECTIONS):
+            # Connects and sends without a turn of the event loop.
+            client = socket.create_connection(("127.0.0.1", port))
+            client.sendall(render_request(b"GET", "/read/x", {}))
+            client.setblocking(False)
+            clients.append(client)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        listener.is_closing = True
+        listener.stop()
+        answers = []
+        for client in clients:
+            with client:
+                try:
+                    async with asyncio.timeout(1.0):
+                        answers.append((await loop.sock_recv(client, 1000))[:12])
+                except OSError as error:
+                    answers.append(type(error))
+        return answers
+
+    answers = run_async(work)
+    assert_that(answers, Equals([b"HTTP/1.1 503"] * QUEUED_CONNECTIONS))
+
+
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_request_that_arrives_in_a_pause_past_the_end_of_a_drain_is_refused(
+    is_connected,
+):
+    """A process was stopped and continued once its time to drain was over.
+
+    The drain ended at once, and the process exited with a request that it had not read.
+    """
+    planned_stop = PlannedStop()
+
+    async def serve(_request):
+        accepts = planned_stop.accepts(read_monotonic() + 1.0)
+        return make_response(200 if accepts else 503)
+
+    async def work():
+        listener = Listener(serve, Limits, lambda status: None)
+        port = choose_port()
+        await listener.open("127.0.0.1", port)
+        inbound = attrs.make_class("Inbound", {"running": attrs.field(default=0)})()
+        with socket.socket() as client:
+            if is_connected:
+                client.connect(("127.0.0.1", port))
+                await wait_for(lambda: listener.connections)
+            now = read_monotonic()
+            planned_stop.begin(now, now + DRAIN_SECONDS)
+            readers = ReaderProgress([])
+            draining = asyncio.create_task(
+                drain(listener, inbound, planned_stop, readers)
+            )
+            await asyncio.sleep(DRAIN_SECONDS / 2)
+            if not is_connected:
+                client.connect(("127.0.0.1", port))
+            client.sendall(render_request(b"GET", "/read/x", {}))
+            time.sleep(DRAIN_SECONDS + LAST_ANSWERS_SECONDS + HELD_UP_SECONDS)
+            await draining
+            # The process would end now.
+            client.setblocking(False)
+            try:
+                return client.recv(1000)
+            except OSError:
+                # Reset, or nothing received.
+                return b""
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 503 "))
+
+
 @attrs.define
 class LateListener:
     """A listener that gets one request right after check number `late_check`."""
@@ -164,3 +259,44 @@
         return listener.running
 
     assert_that(run_async(work), Equals(0))
+
+
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_announcement_at_the_end_of_a_stop_is_answered(is_accepted):
+    """A stopping node ended with an announcement of its target unread or unanswered.
+
+    Its listeners for targets, probes and operators stay open until the process ends.
+    """
+
+    async def work():
+        fleet = await MeshFleet.open()
+        fleet.store.put_json("op", "config", make_document(1, {"/read/": {}}, ["a"]))
+        try:
+            (node,) = await fleet.start_connected("n1")
+            address = node.settings.announcements
+            body = b"{}"
+            path = f"/cactusshed/rpc?call=instances.heartbeat&of={node.target.instance}"
+            with socket.socket() as client:
+                drained = shutdown.await_readers
+
+                async def send_and_await(*args):
+                    await drained(*args)
+                    client.connect((address.ip, address.port))
+                    client.sendall(render_request(b"POST", path, {}, body))
+                    for _ in range(4 * is_accepted):
+                        await asyncio.sleep(0)
+
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(sidecar, "await_readers", send_and_await)
+                    await node.shut_down()
+                # The process would end now.
+                client.setblocking(False)
+                try:
+                    return client.recv(1000)
+                except OSError:
+                    # Reset, or nothing received.
+                    return b""
+        finally:
+            await fleet.close()
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 "))
