Emulator: one seed gives one result in every process

Cause: a target kept its running requests in a set of tasks, which is ordered by memory address. At a loss of power the requests were aborted in that order, so their callers retried in an order, and drew random numbers, that differed between processes and between runs in one process.

Change: the runs are kept in order of start.

The new test, two processes, fails without the change.

--- a/cactusshed/emulator/target.py
+++ b/cactusshed/emulator/target.py
@@ -37,7 +37,9 @@
         self._send_call = send_call
         self._rng = rng
         self._recent_cold_starts: deque[float] = deque()
-        self._runs: set[asyncio.Task] = set()
+        # In order of start: a set of tasks is ordered by their addresses, so that the
+        # order in which runs are aborted would differ between processes.
+        self._runs: dict[asyncio.Task, None] = {}
         self.is_up = True
         self.warm_at = 0.0
         self.peak_cold_rate = 0
@@ -75,7 +77,7 @@
     ) -> Answer:
         """Run a request and return its answer."""
         run = asyncio.ensure_future(self._run(data))
-        self._runs.add(run)
+        self._runs[run] = None
         try:
             status = await run
         except asyncio.CancelledError:
@@ -84,7 +86,7 @@
                 raise UpstreamFailed("power lost", step="wait for answer") from None
             raise
         finally:
-            self._runs.discard(run)
+            self._runs.pop(run, None)
         return Answer(status, [SEAL], b"")
 
     async def _run(self, data: bytes) -> int:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,7 +1,10 @@
 """Tests of the emulator: load files, virtual time and runs of whole loads."""
 
 import asyncio
+import os
 import random
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -32,6 +35,30 @@
 aim-ms = 200
 deadline-ms = 500
 """
+POWER_LOSS = """
+[load]
+seconds = 3
+data-centres = a, b, c
+[outage power]
+at = 1
+seconds = 0.5
+data-centre = a
+[service s]
+slots = 16
+[service t]
+slots = 16
+[class read]
+service = s
+per-second = 300
+work-ms = 90
+calls = lookup
+call-count = 2
+calls-at-once = yes
+[class lookup]
+service = t
+work-ms = 30
+retries = 0
+"""
 
 
 def emulate_load(path, seed=1):
@@ -98,6 +125,28 @@
     assert_that(emulate_load(path)[2], Equals(emulate_load(path)[2]))
 
 
+def test_same_seed_gives_the_same_report_in_every_process(write_load):
+    """Two processes with other hash seeds and memory addresses report the same.
+
+    Guards against sets of tasks, which are ordered by address: a data centre loses
+    power while clients of the others have requests there, which are aborted in turn.
+    """
+    path = write_load(POWER_LOSS)
+    reports = [
+        subprocess.run(  # noqa: S603
+            [sys.executable, "-m", "cactusshed.control", "emulate", str(path)],
+            cwd=RECOVERY.parent.parent,
+            env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONMALLOC": allocator},
+            capture_output=True,
+            check=True,
+            text=True,
+        ).stdout
+        for seed, allocator in (("1", "pymalloc"), ("2", "malloc"))
+    ]
+    assert_that(reports[0], Contains("read"))
+    assert_that(reports[1], Equals(reports[0]))
+
+
 def test_command_prints_classes_and_seconds(write_load):
     """The report has a row for the class and a line for each second of arrival."""
     path = write_load(SMALL.format(rate=150))
