--- a/cactusshed/emulator/clients.py
+++ b/cactusshed/emulator/clients.py
@@ -1,15 +1,17 @@
-"""Emulated clients: random arrivals, and retries that honour `retry-after`."""
+"""Emulated clients: random arrivals, and retries after the advised wait or at once."""
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Iterator
 
 import attrs
 
 from ..clock import read_monotonic
+from .conditions import ALL, RequestClass, RetryAbuse
 from .fleet import EmulatedFleet, send_request
-from .load import RequestClass
+from .losses import NO_NODE
 
 __all__ = ["RequestOutcome", "run_load"]
 
@@ -36,6 +38,23 @@
     latency: float | None
     is_refused: bool
     attempts: int
+    cause: str = ""
+    """Why the last attempt was not served."""
+    returned: bool = False
+    """Whether the client was refused and returned when it had been told to."""
+    served_on_return: bool = False
+    """Whether it was then served at once."""
+
+
+@attrs.frozen
+class _Client:
+    """A client that sends one request and its retries."""
+
+    request_class: RequestClass
+    data_centre: str
+    request_id: bytes
+    abuse: RetryAbuse | None
+    """How it retries if it does so at once and often."""
 
 
 async def run_load(fleet: EmulatedFleet, rng: random.Random) -> list[RequestOutcome]:
@@ -66,74 +85,111 @@
     request_numbers: Iterator[int],
     outcomes: list[RequestOutcome],
 ) -> None:
-    """Send requests of one class from one data centre until the load ends."""
-    rate = request_class.per_second / len(fleet.load.data_centres)
+    """Send requests of one class from one data centre until the load ends.
+
+    The arrivals have random numbers of their own, so that they are the same whatever
+    becomes of the requests, and two policies are compared under the same load.
+    """
+    load = fleet.load
+    arrivals = random.Random(rng.random())  # noqa: S311
+    rate = request_class.per_second / len(load.data_centres)
+    bursts = [b for b in load.bursts if b.class_name in (ALL, request_class.name)]
+    peak = math.prod(burst.factor for burst in bursts)
+    abuses = [a for a in load.retry_abuses if a.class_name in (ALL, request_class.name)]
     async with asyncio.TaskGroup() as group:
         while True:
-            await asyncio.sleep(rng.expovariate(rate))
-            if read_monotonic() >= fleet.load.seconds:
+            await asyncio.sleep(arrivals.expovariate(rate * peak))
+            now = read_monotonic()
+            if now >= load.seconds:
                 return
+            factor = math.prod(b.factor for b in bursts if b.covers(centre, now))
+            if arrivals.random() * peak >= factor:
+                continue
+            abuse = next((a for a in abuses if a.covers(centre, now)), None)
+            if abuse is not None and arrivals.random() >= abuse.share:
+                abuse = None
             request_id = b"c%d" % next(request_numbers)
-            group.create_task(
-                _send_with_retries(
-                    fleet, request_class, centre, request_id, rng, outcomes
-                )
-            )
+            client = _Client(request_class, centre, request_id, abuse)
+            group.create_task(_send_with_retries(fleet, client, rng, outcomes))
 
 
 async def _send_with_retries(
     fleet: EmulatedFleet,
-    request_class: RequestClass,
-    centre: str,
-    request_id: bytes,
+    client: _Client,
     rng: random.Random,
     outcomes: list[RequestOutcome],
 ) -> None:
-    """Send one request, retry it up to the limit of its class, and add its outcome."""
+    """Send one request, retry it up to the client's limit, and add its outcome."""
+    request_class, request_id = client.request_class, client.request_id
     arrived_at = read_monotonic()
     deadline = arrived_at + request_class.timeout
-    status, attempts = NO_CONNECTION, 0
-    for number in range(1 + request_class.retries):
+    status, attempts, cause = NO_CONNECTION, 0, ""
+    has_waited = returned = served_on_return = False
+    retries = request_class.retries if client.abuse is None else client.abuse.retries
+    for number in range(1 + retries):
         attempts = number + 1
         attempt_id = request_id if not number else b"%s-%d" % (request_id, number)
-        status, retry_after = await _send_once(
-            fleet, request_class, centre, attempt_id, deadline, rng
-        )
+        status, retry_after = await _send_once(fleet, client, attempt_id, deadline, rng)
+        cause = fleet.losses.take(attempt_id)
+        if has_waited and not returned:
+            returned, served_on_return = True, status == OK
         remaining = deadline - read_monotonic()
         if status == OK or remaining <= 0:
             break
+        if status == NO_CONNECTION:
+            cause = NO_NODE
         if not request_class.idempotent and status not in NOT_RUN_STATUSES:
             break
-        await asyncio.sleep(min(retry_after, MAX_WAIT_SHARE * remaining))
+        has_waited = False
+        if client.abuse is not None:
+            pause = client.abuse.pause
+        elif request_class.returns_as_told:
+            pause = retry_after
+            has_waited = status == NOT_RUN
+        else:
+            pause = min(retry_after, MAX_WAIT_SHARE * remaining)
+        if pause >= remaining:
+            break
+        if number < retries:
+            await asyncio.sleep(pause)
     latency = read_monotonic() - arrived_at if status == OK else None
-    is_refused = status in NOT_RUN_STATUSES
     outcomes.append(
         RequestOutcome(
-            request_class.name, centre, arrived_at, latency, is_refused, attempts
+            request_class.name,
+            client.data_centre,
+            arrived_at,
+            latency,
+            status in NOT_RUN_STATUSES,
+            attempts,
+            cause,
+            returned,
+            served_on_return,
         )
     )
 
 
 async def _send_once(
     fleet: EmulatedFleet,
-    request_class: RequestClass,
-    centre: str,
+    client: _Client,
     attempt_id: bytes,
     deadline: float,
     rng: random.Random,
 ) -> tuple[int, float]:
     """Send one attempt and return its status and the advised wait in seconds."""
-    nodes = fleet.list_nodes(centre)
+    nodes = fleet.list_nodes(client.data_centre)
     await asyncio.sleep(CLIENT_LATENCY_SECONDS)
     if not nodes:
         return NO_CONNECTION, 0.0
     remaining = deadline - read_monotonic()
+    node = rng.choice(nodes)
     try:
         async with asyncio.timeout(remaining):
             response = await send_request(
-                rng.choice(nodes), request_class, attempt_id, remaining
+                node, client.request_class, attempt_id, remaining
             )
+            await node.link.send(len(response.body))
     except TimeoutError:
+        fleet.losses.note_deadline(attempt_id)
         return TIMED_OUT, 0.0
     await asyncio.sleep(CLIENT_LATENCY_SECONDS)
     headers = dict(response.headers)
--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import copy
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
@@ -16,8 +16,6 @@
 from ..mesh.gate import Gate
 from ..mesh.link import LinkLost
 from ..mesh.messages import Request, Response
-from ..mesh.table import Limits, Route, Table, WeightedService, build_table
-from ..mesh.table import Service as TableService
 from ..mesh.tallies import TallyRecorder
 from ..observe.counters import Counters
 from ..observe.histograms import Histograms
@@ -25,42 +23,24 @@
 from ..policy.gateretries import GateRetryBudget
 from ..policy.placement import LoadView
 from ..policy.quarantine import Quarantine
-from .load import Load, Outage, RequestClass, Service
+from ..policy.uplink import make_uplink
+from .conditions import ALL, Load, Outage, RequestClass, Service
+from .configuration import HOST, Moves, Records, make_table
+from .links import HostLink, make_host_link
+from .losses import Losses, ObservedDispatcher
 from .target import EmulatedTarget
 
 __all__ = ["EmulatedFleet", "Node", "send_request"]
 
-HOST = "emulated"
 COLD_FACTOR, COLD_SLACK = 1.5, 5.0
 """Limit of starts at a cold target in one second: its rate times the factor, plus the
 slack; both as on the users' sites."""
-RETRY_RATIO, RETRY_WINDOW_SECONDS, RETRY_SLACK = 0.2, 10.0, 50.0
-"""Retry budget: share of the requests, window in seconds and slack; as on the users'
-sites."""
-MAX_ATTEMPTS = 2
 LINK_MBPS = 1000.0
-"""Speed of the links; emulated requests have no bodies."""
+"""Speed that nodes assume of a link whose rate is not limited."""
 START_SECONDS = 0.4
 """Time from the return of power until the other nodes see a node and its target."""
 
 
-@attrs.define
-class _Records:
-    """Stand-in for the configuration records; the table never changes."""
-
-    table: Table
-
-
-class _Moves:
-    """Stand-in for the moves of services; none is in progress."""
-
-    def choose_version(self, _service: str) -> str:
-        return ""
-
-    def get_fallback_version(self, _service: str, _version: str) -> str:
-        return ""
-
-
 @attrs.define(eq=False)
 class Node:
     """A node with its gate and its target."""
@@ -70,6 +50,8 @@
     service: Service
     gate: Gate
     target: EmulatedTarget
+    link: HostLink
+    losses: Losses
     is_up: bool = True
     caller_handler: CallerHandler | None = None
 
@@ -91,7 +73,6 @@
     view: LoadView = attrs.Factory(LoadView)
     accepts_until: float = float("inf")
     start_time: int = 0
-    link_mbps: float = LINK_MBPS
 
     @property
     def node(self) -> str:
@@ -105,6 +86,10 @@
     def state(self) -> TargetState:
         return self.remote.get_state()
 
+    @property
+    def link_mbps(self) -> float:
+        return self.remote.link.mbps or LINK_MBPS
+
 
 class _Peers:
     """Links from one node to the others, with a one-way latency of `hop_seconds`."""
@@ -122,10 +107,12 @@
         ]
 
     async def call(self, member: _Member, call: Call) -> Result:
+        await self._local_node.link.send()
         await asyncio.sleep(self._hop_seconds)
         if not member.remote.is_up:
             raise LinkLost("node is down", step="call", peer=member.node)
         result = await member.remote.gate.run(copy.copy(call))
+        await member.remote.link.send_answer(len(result.body))
         await asyncio.sleep(self._hop_seconds)
         return result
 
@@ -141,21 +128,26 @@
         """Build all nodes, with warm targets."""
         self.load = load
         self.nodes: list[Node] = []
+        self.losses = Losses()
         self._rng = rng
-        self._table = _make_table(load)
+        self._table = make_table(load)
         for service in load.services.values():
-            for index, centre in enumerate(self._list_data_centres()):
-                self.nodes.append(self._make_node(service, centre, index))
+            centres = self._list_data_centres(service)
+            for index, centre in enumerate(centres):
+                self.nodes.append(self._make_node(service, centre, index, len(centres)))
         for node in self.nodes:
             self._connect_node(node)
 
-    def _list_data_centres(self) -> Iterator[str]:
-        """Yield the data centre of each node of one service."""
-        for centre in self.load.data_centres:
-            for _ in range(self.load.nodes):
-                yield centre
+    def _list_data_centres(self, service: Service) -> list[str]:
+        """Return the data centre of each node of one service."""
+        centres = self.load.data_centres
+        if service.targets:
+            return [centres[i % len(centres)] for i in range(service.targets)]
+        return [centre for centre in centres for _ in range(self.load.nodes)]
 
-    def _make_node(self, service: Service, centre: str, index: int) -> Node:
+    def _make_node(
+        self, service: Service, centre: str, index: int, gate_count: int
+    ) -> Node:
         name = f"{service.name}-{centre}-{index}"
         quarantine = Quarantine()
         # `send_call` needs the node, which is created after the target.
@@ -164,20 +156,33 @@
         async def send_call(
             request_class: RequestClass, attempt_id: bytes, remaining: float
         ) -> int:
-            response = await send_request(
-                created[0], request_class, attempt_id, remaining
-            )
+            try:
+                response = await send_request(
+                    created[0], request_class, attempt_id, remaining
+                )
+            finally:
+                self.losses.count_call(request_class.name, attempt_id)
             return response.status
 
+        load = self.load
         speed = service.speeds[index % len(service.speeds)]
         rng = random.Random(self._rng.random())
-        target = EmulatedTarget(service, speed, self.load.classes, send_call, rng)
-        gate_count = len(self.load.data_centres) * self.load.nodes
+        faults = [
+            fault
+            for fault in load.faults
+            if fault.service in (ALL, service.name)
+            and fault.data_centre in (ALL, centre)
+        ]
+        target = EmulatedTarget(
+            service, speed, load.classes, send_call, faults, self.losses, rng
+        )
+        mbps = service.links_mbps[index % len(service.links_mbps)]
+        uplink = make_uplink(mbps)
         gate = Gate(
             pool=target,
             counters=Counters(),
             retry_budget=GateRetryBudget(
-                RETRY_RATIO, RETRY_WINDOW_SECONDS, RETRY_SLACK
+                load.retry_ratio, load.retry_window, load.retry_slack
             ),
             quarantine=quarantine,
             crash_tracker=CrashTracker(quarantine),
@@ -186,12 +191,15 @@
             count_gates=lambda: gate_count,
             on_restart_suspected=lambda: None,
             on_leaving=lambda _sent_at: None,
+            uplink=uplink,
         )
         gate.queue.limit = service.slots
         gate.cold.adjust(service.cold_rate, COLD_FACTOR, COLD_SLACK)
         gate.cold.set_cold_time(0.0, 0.0)
         gate.set_close_reason("target-unknown", False)
-        created.append(Node(name, centre, service, gate, target))
+        link = make_host_link(mbps, uplink)
+        node = Node(name, centre, service, gate, target, link, self.losses)
+        created.append(node)
         return created[0]
 
     def _connect_node(self, node: Node) -> None:
@@ -200,7 +208,7 @@
         candidates = Candidates(
             node.name,
             node.data_centre,
-            LINK_MBPS,
+            node.link.mbps or LINK_MBPS,
             peers,
             node.gate,
             lambda _data_centre: False,
@@ -209,12 +217,12 @@
             candidates, peers, node.gate, node.gate.counters, rng=rng
         )
         node.caller_handler = CallerHandler(
-            _Records(self._table),
-            dispatcher,
+            Records(self._table),
+            ObservedDispatcher(dispatcher, self.losses),
             node.gate.counters,
             Histograms(),
             node.service.name,
-            _Moves(),
+            Moves(),
             rng=rng,
         )
 
@@ -232,7 +240,7 @@
 
     async def _run_outage(self, outage: Outage) -> None:
         await asyncio.sleep(outage.starts_at)
-        affected = [n for n in self.nodes if outage.data_centre in ("*", n.data_centre)]
+        affected = [n for n in self.nodes if outage.data_centre in (ALL, n.data_centre)]
         for node in affected:
             node.is_up = False
             node.gate.set_close_reason("target-down", True)
@@ -249,28 +257,6 @@
             node.is_up = True
 
 
-def _make_table(load: Load) -> Table:
-    routes = [
-        Route(
-            name=request_class.name,
-            host=HOST,
-            prefix=f"/{request_class.name}/",
-            weighted_services=(WeightedService(request_class.service, 1.0),),
-            timeout=request_class.timeout,
-            max_attempts=MAX_ATTEMPTS,
-            idempotent=request_class.idempotent,
-            soft_timeout=request_class.soft_timeout,
-            priority=request_class.priority,
-        )
-        for request_class in load.classes.values()
-    ]
-    services = [
-        TableService(s.name, "/", s.slots, s.cold_seconds, s.cold_rate)
-        for s in load.services.values()
-    ]
-    return build_table(1, routes, services, Limits())
-
-
 async def send_request(
     node: Node, request_class: RequestClass, attempt_id: bytes, remaining: float
 ) -> Response:
--- a/cactusshed/emulator/load.py
+++ b/cactusshed/emulator/load.py
@@ -1,97 +1,39 @@
-"""Load descriptions: services, classes of requests and power outages.
+"""Load files, which describe services, classes of requests and conditions.
 
-A load is an INI file with the sections `load`, `service NAME`, `class NAME` and
-`outage NAME`; see `examples/recovery.load`.
+A load is an INI file with the sections `load`, `service NAME`, `class NAME`, `outage
+NAME`, `burst NAME`, `fault NAME` and `retry-abuse NAME`; see `examples/`.
 """
 
+from collections.abc import Callable, Iterator
 from configparser import ConfigParser
 from pathlib import Path
 
-import attrs
-
-from ..errors import CactusError
-from ..options import BadOption, parse_bool, parse_float, parse_int, parse_list
-
-__all__ = ["InvalidLoad", "Load", "Outage", "RequestClass", "Service", "read_load"]
+from ..options import (
+    BadOption,
+    parse_bool,
+    parse_choice,
+    parse_float,
+    parse_int,
+    parse_list,
+)
+from .conditions import (
+    ALL,
+    Burst,
+    Fault,
+    InvalidLoad,
+    Load,
+    Outage,
+    RequestClass,
+    RetryAbuse,
+    Service,
+)
+
+__all__ = ["InvalidLoad", "Load", "read_load"]
 
 MAX_NUMBER = 100_000.0
 MAX_SECONDS = 3600.0
 MAX_MS = 3_600_000.0
-
-
-class InvalidLoad(CactusError):
-    """A load file is invalid; the message lists every error."""
-
-    code = "bad-load"
-    status = 400
-
-
-@attrs.frozen
-class Service:
-    """A service whose targets run in every data centre; times in seconds."""
-
-    name: str
-    slots: int
-    speeds: tuple[float, ...]
-    """Speed factors, given to the targets in turn; 1 keeps the work time of a class."""
-    cold_seconds: float
-    cold_slowdown: float
-    """Factor on the work time of requests that start at a cold target."""
-    cold_rate: float
-    """Request starts per second that a cold target can take."""
-
-
-@attrs.frozen
-class RequestClass:
-    """A class of requests; times in seconds, `per_second` over all data centres."""
-
-    name: str
-    service: str
-    per_second: float
-    work_seconds: float
-    spread: float
-    """Sigma of the log-normal distribution of the work time."""
-    soft_timeout: float
-    timeout: float
-    priority: int
-    """0 is served first."""
-    worth: float
-    """Value of an answer within the soft timeout."""
-    late_worth: float
-    """Value of an answer after the soft timeout."""
-    retries: int
-    idempotent: bool
-    call_class: str
-    """Class of the nested calls that a request makes; empty for none."""
-    call_count: int
-    call_share: float
-    """Share of the requests that make nested calls."""
-    calls_in_parallel: bool
-
-
-@attrs.frozen
-class Outage:
-    """Power outage of one data centre or all (`*`); its targets restart cold."""
-
-    starts_at: float
-    seconds: float
-    data_centre: str
-
-
-@attrs.frozen
-class Load:
-    """A load: its duration, the fleet, the classes of requests and the outages."""
-
-    seconds: float
-    data_centres: tuple[str, ...]
-    nodes: int
-    """Nodes of each service in each data centre."""
-    hop_seconds: float
-    """One-way latency between two nodes."""
-    services: dict[str, Service]
-    classes: dict[str, RequestClass]
-    outages: tuple[Outage, ...]
-
+MAX_ANSWER_BYTES = 64 << 20
 
 _parse_number = parse_float(0.0, MAX_NUMBER)
 _parse_milliseconds = parse_float(0.0, MAX_MS)
@@ -101,9 +43,17 @@
     return _parse_milliseconds(option, text) / 1000
 
 
-def _parse_speeds(option: str, text: str) -> tuple[float, ...]:
-    parse = parse_float(0.01, 100.0)
-    return tuple(parse(option, part.strip()) for part in text.split(","))
+def _parse_numbers(low: float, high: float) -> Callable[[str, str], tuple[float, ...]]:
+    parse_number = parse_float(low, high)
+
+    def parse(option: str, text: str) -> tuple[float, ...]:
+        return tuple(parse_number(option, part.strip()) for part in text.split(","))
+
+    return parse
+
+
+def _parse_slow_period(option: str, text: str) -> float:
+    return parse_float(1.0, MAX_MS)(option, text) / 1000
 
 
 def _parse_text(_option: str, text: str) -> str:
@@ -115,13 +65,22 @@
     "data-centres": ("data_centres", parse_list, "a, b, c, d"),
     "nodes": ("nodes", parse_int(1, 100), "1"),
     "hop-ms": ("hop_seconds", _parse_ms_as_seconds, "1"),
+    "retry-ratio": ("retry_ratio", parse_float(0.0, 100.0), "0.2"),
+    "retry-window": ("retry_window", parse_float(0.1, MAX_SECONDS), "10"),
+    "retry-slack": ("retry_slack", _parse_number, "50"),
 }
 _SERVICE_OPTIONS = {
     "slots": ("slots", parse_int(1, 10_000), "10"),
-    "speeds": ("speeds", _parse_speeds, "1"),
+    "speeds": ("speeds", _parse_numbers(0.01, 100.0), "1"),
     "cold-seconds": ("cold_seconds", _parse_number, "0"),
     "cold-slowdown": ("cold_slowdown", parse_float(1.0, 100.0), "1"),
     "cold-rate": ("cold_rate", _parse_number, "10"),
+    "targets": ("targets", parse_int(0, 10_000), "0"),
+    "links-mbps": ("links_mbps", _parse_numbers(0.0, MAX_NUMBER), "0"),
+    "slow-share": ("slow_share", parse_float(0.0, 1.0), "0"),
+    "slow-factor": ("slow_factor", parse_float(1.0, 100.0), "1"),
+    "slow-ms": ("slow_seconds", _parse_slow_period, "600"),
+    "states-pace": ("states_pace", parse_bool, "no"),
 }
 _CLASS_OPTIONS = {
     "service": ("service", _parse_text, ""),
@@ -139,12 +98,40 @@
     "call-count": ("call_count", parse_int(0, 100), "1"),
     "call-share": ("call_share", parse_float(0.0, 1.0), "1"),
     "calls-at-once": ("calls_in_parallel", parse_bool, "no"),
+    "answer-bytes": ("answer_bytes", parse_int(0, MAX_ANSWER_BYTES), "0"),
+    "returns-as-told": ("returns_as_told", parse_bool, "no"),
 }
 _OUTAGE_OPTIONS = {
     "at": ("starts_at", _parse_number, "5"),
     "seconds": ("seconds", _parse_number, "2"),
-    "data-centre": ("data_centre", _parse_text, "*"),
+    "data-centre": ("data_centre", _parse_text, ALL),
 }
+_BURST_OPTIONS = {
+    **_OUTAGE_OPTIONS,
+    "class": ("class_name", _parse_text, ALL),
+    "factor": ("factor", parse_float(1.0, 100.0), "2"),
+}
+_FAULT_OPTIONS = {
+    **_OUTAGE_OPTIONS,
+    "service": ("service", _parse_text, ALL),
+    "kind": ("kind", parse_choice(("shed", "fail")), "shed"),
+    "share": ("share", parse_float(0.0, 1.0), "0.5"),
+}
+_ABUSE_OPTIONS = {
+    **_OUTAGE_OPTIONS,
+    "class": ("class_name", _parse_text, ALL),
+    "share": ("share", parse_float(0.0, 1.0), "1"),
+    "retries": ("retries", parse_int(1, 100), "8"),
+    "pause-ms": ("pause", _parse_ms_as_seconds, "0"),
+}
+_CONDITIONS = {
+    "outage": ("outages", Outage, _OUTAGE_OPTIONS),
+    "burst": ("bursts", Burst, _BURST_OPTIONS),
+    "fault": ("faults", Fault, _FAULT_OPTIONS),
+    "retry-abuse": ("retry_abuses", RetryAbuse, _ABUSE_OPTIONS),
+}
+"""Field of the load, type and options of each type of section that may be repeated."""
+_SECTION_TYPES = frozenset({"load", "service", "class", *_CONDITIONS})
 
 
 def _read_section(
@@ -173,16 +160,25 @@
     ]
 
 
-def _check_names(load: Load, errors: list[str]) -> None:
+def _check_names(load: Load) -> Iterator[str]:
+    """Yield an error for each name that no section explains."""
     for request_class in load.classes.values():
+        section = f"[class {request_class.name}]"
         if request_class.service not in load.services:
-            errors.append(
-                f"[class {request_class.name}] service: no section for this service"
-            )
+            yield f"{section} service: no section for this service"
         if request_class.call_class and request_class.call_class not in load.classes:
-            errors.append(
-                f"[class {request_class.name}] calls: no section for this class"
-            )
+            yield f"{section} calls: no section for this class"
+    known = {
+        "data_centre": {ALL, *load.data_centres},
+        "class_name": {ALL, *load.classes},
+        "service": {ALL, *load.services},
+    }
+    for section_type, (field, _, options) in _CONDITIONS.items():
+        for condition in getattr(load, field):
+            for option, (name, *_) in options.items():
+                value = getattr(condition, name)
+                if name in known and value not in known[name]:
+                    yield f"[{section_type}] {option}: {value!r} is not known"
 
 
 def read_load(path: Path) -> Load:
@@ -192,7 +188,11 @@
         parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
     except Exception as error:
         raise InvalidLoad(str(error), step="read load", peer=str(path)) from error
-    errors: list[str] = []
+    errors = [
+        f"[{section}]: unknown type of section"
+        for section in parser.sections()
+        if section.partition(" ")[0] not in _SECTION_TYPES
+    ]
     general = _read_section(parser, "load", _LOAD_OPTIONS, errors)
     services = {
         name: {"name": name, **_read_section(parser, section, _SERVICE_OPTIONS, errors)}
@@ -202,18 +202,24 @@
         name: {"name": name, **_read_section(parser, section, _CLASS_OPTIONS, errors)}
         for section, name in _list_named_sections(parser, "class")
     }
-    outages = [
-        _read_section(parser, section, _OUTAGE_OPTIONS, errors)
-        for section, _ in _list_named_sections(parser, "outage")
-    ]
+    conditions = {
+        field: [
+            (condition_type, _read_section(parser, section, options, errors))
+            for section, _ in _list_named_sections(parser, section_type)
+        ]
+        for section_type, (field, condition_type, options) in _CONDITIONS.items()
+    }
     if not errors:
         load = Load(
             **general,
             services={name: Service(**fields) for name, fields in services.items()},
             classes={name: RequestClass(**fields) for name, fields in classes.items()},
-            outages=tuple(Outage(**fields) for fields in outages),
+            **{
+                field: tuple(make(**fields) for make, fields in sections)
+                for field, sections in conditions.items()
+            },
         )
-        _check_names(load, errors)
+        errors.extend(_check_names(load))
     if errors:
         raise InvalidLoad("; ".join(errors), step="read load", peer=str(path))
     return load
--- a/cactusshed/emulator/report.py
+++ b/cactusshed/emulator/report.py
@@ -1,14 +1,16 @@
-"""Report of an emulated load: tables by class and data centre, and a plot."""
+"""Report of an emulated load: tables by class, data centre and cause, and a plot."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
 from .clients import RequestOutcome
+from .conditions import Load, RequestClass
 from .fleet import EmulatedFleet
-from .load import Load, RequestClass
+from .losses import LATE
 
-__all__ = ["GroupStats", "aggregate_outcomes", "render_report"]
+__all__ = ["GroupStats", "aggregate_outcomes", "count_losses", "render_report"]
 
 WINDOW_SECONDS = 1.0
 """Time of arrivals that one line of the plot covers."""
@@ -24,6 +26,10 @@
     late: int = 0
     refused: int = 0
     failed: int = 0
+    returned: int = 0
+    """Clients that were refused and returned when they had been told to."""
+    served_on_return: int = 0
+    """Those of them that were then served at once."""
     _earned_worth: float = 0.0
     _total_worth: float = 0.0
 
@@ -35,6 +41,8 @@
     def add(self, outcome: RequestOutcome, request_class: RequestClass) -> None:
         """Count one request."""
         self.requests += 1
+        self.returned += outcome.returned
+        self.served_on_return += outcome.served_on_return
         self._total_worth += request_class.worth
         if outcome.latency is None:
             self.refused += outcome.is_refused
@@ -60,6 +68,28 @@
     return dict(sorted(stats.items()))
 
 
+def count_losses(outcomes: Iterable[RequestOutcome], load: Load) -> dict[str, Counter]:
+    """Return, by class, how many requests were not served in time for which cause."""
+    losses: dict[str, Counter] = {}
+    for outcome in outcomes:
+        soft_timeout = load.classes[outcome.class_name].soft_timeout
+        if outcome.latency is None:
+            cause = outcome.cause
+        elif outcome.latency > soft_timeout:
+            cause = LATE
+        else:
+            continue
+        losses.setdefault(outcome.class_name, Counter())[cause] += 1
+    return losses
+
+
+def _render_causes(title: str, losses: dict[str, Counter]) -> Iterator[str]:
+    yield title
+    for class_name, causes in sorted(losses.items()):
+        for cause, count in sorted(causes.items(), key=lambda item: (-item[1], item)):
+            yield f"{class_name:<24}{count:>9}  {cause or 'served'}"
+
+
 def _render_rows(title: str, groups: dict) -> Iterator[str]:
     names = ("requests", "in time", "late", "refused", "failed", "earned")
     yield f"{title:<24}" + "".join(f"{name:>9}" for name in names)
@@ -74,10 +104,22 @@
 ) -> Iterator[str]:
     """Yield the lines of the report."""
     load = fleet.load
-    yield from _render_rows(
-        "class", aggregate_outcomes(outcomes, load, lambda o: o.class_name)
-    )
+    classes = aggregate_outcomes(outcomes, load, lambda o: o.class_name)
+    total = aggregate_outcomes(outcomes, load, lambda _: "all classes")
+    yield from _render_rows("class", {**classes, **total})
+    yield ""
+    yield from _render_causes("not served in time", count_losses(outcomes, load))
     yield ""
+    if fleet.losses.calls:
+        yield from _render_causes("calls of targets", fleet.losses.calls)
+        yield ""
+    if any(row.returned for row in classes.values()):
+        yield "clients that returned when they had been told to, share then served"
+        for name, row in classes.items():
+            if row.returned:
+                share = row.served_on_return / row.returned
+                yield f"{name:<24}{row.returned:>9}{share:>9.3f}"
+        yield ""
     yield from _render_rows(
         "data centre", aggregate_outcomes(outcomes, load, lambda o: o.data_centre)
     )
--- a/cactusshed/emulator/virtualtime.py
+++ b/cactusshed/emulator/virtualtime.py
@@ -15,6 +15,11 @@
 __all__ = ["run_in_virtual_time"]
 
 
+MIN_DELAY_SECONDS = 1e-6
+"""Shortest delay of a timer. One of less than the resolution of the clock would never
+advance it, and what waits for a little more time would wait for ever."""
+
+
 class _VirtualSelector(selectors.SelectSelector):
     """Selector that advances a virtual clock instead of waiting."""
 
@@ -41,6 +46,12 @@
         """Return the virtual time in seconds since the start."""
         return self._virtual_selector.now
 
+    def call_later(self, delay: float, callback, *args, context=None):
+        """Schedule a callback, at once or after a delay that advances the clock."""
+        if delay > 0:
+            delay = max(delay, MIN_DELAY_SECONDS)
+        return super().call_later(delay, callback, *args, context=context)
+
 
 @contextmanager
 def _substitute_clock(read: Callable[[], float]):
