--- a/cactusshed/emulator/clients.py
+++ b/cactusshed/emulator/clients.py
@@ -187,7 +187,7 @@
             response = await send_request(
                 node, client.request_class, attempt_id, remaining
             )
-            await node.link.send(len(response.body))
+            await node.link.send_response(len(response.body))
     except TimeoutError:
         fleet.losses.note_deadline(attempt_id)
         return TIMED_OUT, 0.0
--- a/cactusshed/emulator/links.py
+++ b/cactusshed/emulator/links.py
@@ -32,14 +32,23 @@
     def _transmit(self, size: int) -> float:
         """Send `size` bytes and return the seconds until the last of them has left."""
         now = read_monotonic()
-        if self.scheduler is not None:
-            self.scheduler.uplink.charge(size)
         seconds = size * 8 / (self.mbps * 1e6)
         self._busy_until = max(now, self._busy_until) + seconds
         return self._busy_until - now
 
+    def _transmit_frame(self, size: int) -> float:
+        """Send `size` bytes to another node and charge the account of the link."""
+        if self.scheduler is not None:
+            self.scheduler.uplink.charge(size)
+        return self._transmit(size)
+
     async def send(self, body_bytes: int = 0) -> None:
         """Send a frame and its body at once; return when the link has sent them."""
+        if self.mbps:
+            await asyncio.sleep(self._transmit_frame(FRAME_BYTES + body_bytes))
+
+    async def send_response(self, body_bytes: int) -> None:
+        """Send a response to a client; `CallerHandler` has charged its body."""
         if self.mbps:
             await asyncio.sleep(self._transmit(FRAME_BYTES + body_bytes))
 
@@ -48,7 +57,7 @@
         if self.scheduler is None or body_bytes < BULK_BYTES:
             await self.send(body_bytes)
             return
-        self._transmit(FRAME_BYTES)
+        self._transmit_frame(FRAME_BYTES)
         sent = asyncio.get_running_loop().create_future()
         left = body_bytes
 
@@ -56,7 +65,7 @@
             nonlocal left
             size = min(PART_BYTES, left)
             left -= size
-            seconds = self._transmit(size)
+            seconds = self._transmit_frame(size)
             if not left and not sent.done():
                 sent.set_result(seconds)
             return left
--- a/tests/test_emulator_conditions.py
+++ b/tests/test_emulator_conditions.py
@@ -20,6 +20,7 @@
 from cactusshed.emulator.load import InvalidLoad, read_load
 from cactusshed.emulator.report import count_losses, render_report
 from cactusshed.emulator.virtualtime import run_in_virtual_time
+from cactusshed.policy.uplink import Uplink
 
 BASE = """
 [load]
@@ -127,6 +128,20 @@
     assert_that(min(latencies), GreaterThan(0.05 + 0.18))
 
 
+def test_bytes_are_charged_to_a_link_once(emulate, monkeypatch):
+    """Guards against a response that its node and the emulator both charge.
+
+    With one target no answer goes to another node.
+    """
+    charged = []
+    monkeypatch.setattr(Uplink, "charge", lambda _uplink, size: charged.append(size))
+    service = "targets = 1\nlinks-mbps = 20"
+    _, outcomes = emulate(rate=4, service=service, read="answer-bytes = 90000")
+    served = sum(outcome.latency is not None for outcome in outcomes)
+    assert_that(served, GreaterThan(0))
+    assert_that(charged, Equals([90000] * served))
+
+
 def test_slow_hosts_state_their_pace(emulate):
     """A host is slow for about the configured share of its periods, and says so."""
     service = "slow-share = 0.4\nslow-factor = 3\nslow-ms = 100\nspeeds = 0.5\n"
