One decision for all leases

store/lease.py, the usage duty and the moves each decided on their own until when a holder may act, when another node takes over and which token comes next. policy/leases.py decides it for all three; rows, fields, clocks and times are as before.

test_lease, test_lease_terms, test_usage_duty, test_usage_reports and test_rollouts: 153 passed.

--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -15,6 +15,7 @@
 from ..observe.lines import log_line
 from ..platform.rows import ABSENT, RowStore
 from ..policy.errorevidence import ErrorEvidence
+from ..policy.leases import LeaseTerms
 from ..policy.rollout import COMPLETE, REVERTED, Move, advance_move
 from .frames import MoveUpdate
 from .moveevidence import MoveEvidence
@@ -88,15 +89,17 @@
             await self._advance(tracked, order)
             return
         since = tracked.updated_at if is_current else self._orders_seen[service][1]
-        if is_current:
-            since += TAKEOVER_SECONDS
-            if now >= since and now - tracked.read_at >= RENEW_SECONDS:
-                # The holder may be well, but out of this node's reach.
-                tracked.read_at = now
-                _, has_advanced = await self._read_row(service, order)
-                if has_advanced:
-                    return
-        if now - since < RANK_DELAY_SECONDS * self._get_node_rank():
+        # An order that no node has begun to execute has no holder to wait for.
+        length = TAKEOVER_SECONDS if is_current else 0.0
+        terms = LeaseTerms(length, rank_delay=RANK_DELAY_SECONDS)
+        is_abandoned = is_current and terms.may_take_over(since, now)
+        if is_abandoned and now - tracked.read_at >= RENEW_SECONDS:
+            # The holder may be well, but out of this node's reach.
+            tracked.read_at = now
+            _, has_advanced = await self._read_row(service, order)
+            if has_advanced:
+                return
+        if not terms.may_take_over(since, now, self._get_node_rank()):
             return
         await self._take_over(service, order)
 
@@ -178,8 +181,9 @@
 
     async def _write_rollback(self, tracked: TrackedMove) -> None:
         if tracked.move.holder != self.node:
-            takeover_delay = TAKEOVER_SECONDS * (1 + self._get_node_rank())
-            if read_monotonic() - tracked.updated_at < takeover_delay:
+            terms = LeaseTerms(TAKEOVER_SECONDS, rank_delay=TAKEOVER_SECONDS)
+            now, rank = read_monotonic(), self._get_node_rank()
+            if not terms.may_take_over(tracked.updated_at, now, rank):
                 return
         version, stored = await read_move(self.store, tracked.move.service)
         if version != ABSENT:
--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -8,6 +8,8 @@
 import attrs
 import xxhash
 
+from .leases import LeaseTerms
+
 __all__ = ["DutyWatch", "LeaseTimes", "find_rank", "is_minority", "rank_nodes"]
 
 RANK_DELAY_SECONDS = 0.5
@@ -25,12 +27,9 @@
     lease: float
 
     @property
-    def act(self) -> float:
-        """Return the time after the start of a renewal for which the holder may act.
-
-        The rest covers a report on its way to the platform.
-        """
-        return self.lease * 5 / 6
+    def terms(self) -> LeaseTerms:
+        """Return the rules of the lease; the margin covers a report on its way."""
+        return LeaseTerms(self.lease, self.lease / 6, RANK_DELAY_SECONDS)
 
     @property
     def renew(self) -> float:
@@ -92,18 +91,19 @@
         if now < self.next_try or now < self.rests_until:
             return False
         if self.seen_at is None:
-            start = self.started_at + self.times.lease / 2
+            # The holder may tell this node of the row for half a lease after its start.
+            since = self.started_at - self.times.lease / 2
         else:
-            start = self.seen_at + self.times.lease
+            since = self.seen_at
         if is_weak:
-            start += WEAK_DELAY_LEASES * self.times.lease
-        return now > start + rank * RANK_DELAY_SECONDS
+            since += WEAK_DELAY_LEASES * self.times.lease
+        return self.times.terms.may_take_over(since, now, rank)
 
     def may_take(self, version: int, now: float) -> bool:
         """Return whether the lease of the row that was read has certainly ended."""
         if version != self.version or self.seen_at is None:
             return False
-        return now - self.seen_at > self.times.lease
+        return self.times.terms.may_take_over(self.seen_at, now)
 
     def postpone(self, now: float, nodes: int) -> None:
         """Try again once all other candidates have had their turn."""
--- a/cactusshed/store/lease.py
+++ b/cactusshed/store/lease.py
@@ -8,6 +8,7 @@
 from ..clock import read_monotonic, read_wall
 from ..decoding import Count, decode_json
 from ..errors import AnswerLost, ConditionFailed, LeaseLost
+from ..policy.leases import LeaseTerms, choose_next_token, has_ended
 from .port import ABSENT, Condition, Port, Row, Write
 
 __all__ = ["Lease", "acquire_lease", "make_lease_key", "release_lease", "renew_lease"]
@@ -15,6 +16,7 @@
 LEASE_SECONDS = 6.0
 MARGIN_SECONDS = 1.5
 """A holder stops acting this long before its lease expires."""
+TERMS = LeaseTerms(LEASE_SECONDS, MARGIN_SECONDS)
 
 
 @attrs.frozen
@@ -74,10 +76,12 @@
     if row is not None:
         existing = _decode(row)
         epoch = existing.epoch
-        if existing.holder and existing.holder != holder and existing.expires > wall():
+        is_held = existing.holder not in ("", holder)
+        if is_held and not has_ended(existing.expires, wall()):
             return None
     version = row.version if row else ABSENT
-    return await _write_row(port, name, holder, epoch + 1, version, wall, monotonic)
+    epoch = choose_next_token(epoch)
+    return await _write_row(port, name, holder, epoch, version, wall, monotonic)
 
 
 async def renew_lease(
@@ -115,8 +119,8 @@
 async def _write_row(port, name, holder, epoch, version, wall, monotonic):
     # Read the clock before the request: the holder then stops before the lease
     # expires for others.
-    valid_until = monotonic() + LEASE_SECONDS - MARGIN_SECONDS
-    new_row = LeaseRow(holder, epoch, wall() + LEASE_SECONDS)
+    valid_until = TERMS.compute_act_end(monotonic())
+    new_row = LeaseRow(holder, epoch, TERMS.compute_end(wall()))
     key = make_lease_key(name)
     write = Write(key, msgspec.json.encode(new_row).decode())
     try:
--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -17,6 +17,7 @@
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..platform.rows import ABSENT, RowStore
+from ..policy.leases import choose_next_token
 from ..policy.truetime import TrueTime
 from ..policy.usagelease import (
     DutyWatch,
@@ -132,8 +133,7 @@
         return 1 + sum(member.is_up for member in members), 1 + len(members)
 
     def _list_candidates(self) -> list[str]:
-        members = self.list_members()
-        return [m.node for m in members if m.is_up and not m.is_leaving]
+        return [m.node for m in self.list_members() if m.is_up and not m.is_leaving]
 
     def note_holder(self, frame: UsageHolder) -> bool:
         """Record what another node says of the row; return whether it is news."""
@@ -170,7 +170,7 @@
         self.unreachable_since = None
         # The standby has the other nodes' counts already.
         first, fixed = self._choose_content(row, now, 0.0)
-        await self._write(first, fixed, row.token + 1, version)
+        await self._write(first, fixed, choose_next_token(row.token), version)
 
     async def _renew(self, now: float) -> None:
         first, fixed = self._choose_content(self.row, now, now - self._acquired_at)
@@ -262,7 +262,8 @@
         before = self.lease
         valid_until = before.valid_until if before is not None else float("-inf")
         if started is not None:
-            valid_until = max(valid_until, started + self.watch.times.act)
+            act_end = self.watch.times.terms.compute_act_end(started)
+            valid_until = max(valid_until, act_end)
         self.lease = Lease(DUTY_KEY, self.node, row.token, version, valid_until)
         self.row = row
         self.acknowledged &= row.fixed.keys()
