A stopping node passes on the counts of nodes that ended before it

While nobody held the usage duty, a stopped node left its last counts with three others. Once these were restarted too, the counts were lost, as each sent only its own. A stopping node now also sends the totals that it has of ended nodes.

The new test of test_usage_duty failed before (735 of 929 counted); the module passes.

--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -220,13 +220,21 @@
             return
         if holder.node != self._passed_on[0]:
             self._passed_on = (holder.node, set())
-        running = {m.node: m.start_time for m in members.values() if m.is_up}
-        running[self.node] = self.start_time
-        for source, sequence, windows in self.totals.list_lost(running):
+        for totals in self._list_lost(members):
+            source = (totals.node, totals.start_time)
             if source not in self._passed_on[1]:
-                holder.link.send(UsageTotals(*source, sequence, windows))
+                holder.link.send(totals)
                 self._passed_on[1].add(source)
 
+    def _list_lost(self, members: dict[str, Member]) -> list[UsageTotals]:
+        """Return the totals of nodes that have ended."""
+        running = {m.node: m.start_time for m in members.values() if m.is_up}
+        running[self.node] = self.start_time
+        return [
+            UsageTotals(*source, sequence, windows)
+            for source, sequence, windows in self.totals.list_lost(running)
+        ]
+
     # Planned stop.
 
     def prepare_stop(self) -> None:
@@ -243,8 +251,10 @@
         ranked = rank_nodes(name for name, m in members.items() if not m.is_leaving)
         preferred = [self.duty.watch.holder, self._standby, *ranked]
         names = [name for name in dict.fromkeys(preferred) if name in members]
+        # Without a holder, this node may be the last one to have the totals of others.
         for name in names[:FINAL_COPIES]:
-            members[name].link.send(report)
+            for totals in [*self._list_lost(members), report]:
+                members[name].link.send(totals)
         while names and self.read_boottime() < end:
             if report.sequence in self._receipts:
                 return
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -382,6 +382,28 @@
     assert_rules(fleet)
 
 
+def test_planned_stops_of_all_nodes_without_a_holder_lose_no_counts():
+    """Guards against counts of a stopped node that end with those that have them.
+
+    The store is down, so that no node may hold the duty, and all nodes are restarted one
+    after the other meanwhile.
+    """
+
+    async def scenario(fleet):
+        await asyncio.sleep(21.7)
+        fleet.store.fault = "busy"
+        await asyncio.sleep(4)
+        for name in NODES:
+            await fleet.stop(name, drain=0.5)
+            fleet.start(name)
+            await asyncio.sleep(0.5)
+        fleet.store.fault = ""
+        await asyncio.sleep(40)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet, late=fleet.find_late())
+
+
 def test_stop_of_the_last_moment_is_counted():
     """Guards against a node that exits before its last counts have arrived."""
 
