A node that stops soon after its start reports its counts

Until a node has compared its clock with the fleet's, up to 8 s after its start, it counts in bins that belong to no window yet. Its last report left them out, so a planned stop in this time lost them. A stopping node now assigns them by its own clock.

The new test of test_usage_duty failed before (796 of 937 counted); the module passes.

--- a/cactusshed/policy/truetime.py
+++ b/cactusshed/policy/truetime.py
@@ -49,6 +49,7 @@
     started_at: float
     _samples: deque[float] = attrs.Factory(lambda: deque(maxlen=SAMPLE_COUNT))
     _fleet_offset: FastestVote = attrs.Factory(FastestVote)
+    _waits_for_fleet: bool = True
 
     def add_sample(self, wall: float, now: float) -> None:
         """Record the wall clock at boot time `now`."""
@@ -65,10 +66,15 @@
     def is_settled(self, now: float) -> bool:
         """Return whether the own clock has been compared, or can't be."""
         return (
-            self._fleet_offset.get() is not None
+            not self._waits_for_fleet
+            or self._fleet_offset.get() is not None
             or now - self.started_at > SETTLE_SECONDS
         )
 
+    def settle(self) -> None:
+        """Wait no longer for word from the fleet, because the node is stopping."""
+        self._waits_for_fleet = False
+
     def get_offset(self) -> float:
         """Return the difference of true time and boot time."""
         own = statistics.median_low(self._samples)
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -244,6 +244,7 @@
     async def finish(self, seconds: float) -> None:
         """Send the last counts, and wait up to `seconds` until a node has them."""
         end = self.read_boottime() + min(MAX_FINISH_SECONDS, seconds)
+        self.clock.settle()
         report = self._make_report()
         self._merge(report)
         report.wants_receipt = True
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -385,8 +385,8 @@
 def test_planned_stops_of_all_nodes_without_a_holder_lose_no_counts():
     """Guards against counts of a stopped node that end with those that have them.
 
-    The store is down, so that no node may hold the duty, and all nodes are restarted one
-    after the other meanwhile.
+    The store is down, so that no node may hold the duty, and all nodes are restarted
+    one after the other meanwhile.
     """
 
     async def scenario(fleet):
@@ -404,6 +404,26 @@
     assert_rules(fleet, late=fleet.find_late())
 
 
+def test_stop_soon_after_a_start_loses_no_counts():
+    """Guards against counts lost because the clock was not compared before the stop."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(21.7)
+        holder = await fleet.wait_holder()
+        other = next(name for name in NODES if name != holder)
+        fleet.store.fault = "busy"
+        await asyncio.sleep(4)
+        await fleet.stop(other)
+        fleet.start(other)
+        await asyncio.sleep(4)
+        await fleet.stop(other, drain=0.5)
+        fleet.store.fault = ""
+        await asyncio.sleep(30)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet, late=fleet.find_late())
+
+
 def test_stop_of_the_last_moment_is_counted():
     """Guards against a node that exits before its last counts have arrived."""
 
