Soak: tenants with changing keys, and usage reports

Configurations of the soak have tenants, requests carry their keys, and the nodes report usage to the stand-in of the API. Faults: keys that are added and removed, an API that is cut off or refuses, and a holder of the duty that is killed, stopped as planned, frozen, or cut off from the store or the API.

--- a/soak/behaviours.py
+++ b/soak/behaviours.py
@@ -23,6 +23,8 @@
 FINAL = (400, 401, 404, 413, 431)
 """Answers after which no client tries again."""
 SLOW_READ_BYTES = 65_536
+MAX_CHANGING_KEYS = 20
+"""Keys that are tried: the last ones added, most of which have been removed since."""
 
 
 async def _use_ready(client: Client) -> None:
@@ -184,6 +186,15 @@
         await asyncio.sleep(max(0.0, min(record.retry_after, left * RETRY_SHARE)))
 
 
+async def _use_changing_key(client: Client) -> None:
+    """Use one of the keys that the operator has added and mostly removed again."""
+    point, node = client.rng.random(), client.choose_node()
+    path = client.choose_path(("/read/", "/other/"), "plain")
+    keys = client.clients.fleet.keys.changing[-MAX_CHANGING_KEYS:]
+    if node is not None and keys:
+        await client.request(node, path, key=keys[int(point * len(keys))].text)
+
+
 CLIENTS: dict[str, Callable[[Client], Awaitable[None]]] = {
     "steady": _use_ready,
     "until-gone": _use_until_gone,
@@ -196,6 +207,7 @@
     "pipelined": _pipeline,
     "gives-up": _give_up,
     "retrying": _retry,
+    "changing-keys": _use_changing_key,
 }
 """Function that takes a turn of a client, by the name of its behaviour."""
 CROSSING_KINDS = frozenset({"until-gone", "calls", "pause-in-body"})
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -31,6 +31,7 @@
 from .records import Record
 from .requestchecks import check_answers, check_lost_answers, check_runs
 from .target import LimitPeriod, SoakTarget
+from .usagechecks import USAGE_CHECKS
 
 __all__ = ["count_statuses", "find_violations"]
 
@@ -210,7 +211,7 @@
         if record.sent > recovery_start
         and record.ended
         and not record.has_left
-        and record.kind not in CROSSING_KINDS | {"connect"}
+        and record.kind not in CROSSING_KINDS | {"connect", "changing-keys"}
         and record.shape not in UNSERVED_SHAPES | {"calls"}
     ]
     if not later:
@@ -241,7 +242,10 @@
         _check_memory,
         _check_recovery,
     )
-    return [violation for check in checks for violation in check(observations)]
+    found = [violation for check in checks for violation in check(observations)]
+    for name, check in USAGE_CHECKS.items():
+        found.extend(Violation(name, text) for text in check(observations))
+    return found
 
 
 def count_statuses(records: Iterable[Record]) -> dict[str, int]:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -57,6 +57,9 @@
     def open_client(self, kind: str, home: str = "") -> "Client":
         """Return a client with a plan of its own; `home` names its only node."""
         client = Client(self, kind, random.Random(self._rng.random()), home)
+        if kind != "calls":
+            lasting = self.fleet.keys.lasting
+            client.key = lasting[len(self._clients) % len(lasting)].text
         self._clients.append(client)
         return client
 
@@ -90,6 +93,8 @@
     rng: random.Random
     home: str = ""
     """Node that it keeps to, ready or not; empty for any that is ready."""
+    key: str = ""
+    """Key of its tenant; calls of targets carry none."""
     connections: dict[str, Connection] = attrs.Factory(dict)
 
     async def run(self, take_turn, pause: float = PAUSE_SECONDS) -> None:
@@ -143,7 +148,8 @@
 
     def make_record(self, node: Node, path: str, body: bytes = b"", **fields) -> Record:
         """Return the record of a new request to a node."""
-        fields = {"request_id": self.clients.make_id(), "kind": self.kind, **fields}
+        own = {"request_id": self.clients.make_id(), "kind": self.kind}
+        fields = {**own, "key": self.key, **fields}
         if ROUTES.get(f"/{path.split('/')[1]}/", {}).get("timeout"):
             fields.setdefault("deadline", LONG_SECONDS)
         record = Record(
@@ -232,5 +238,6 @@
     return {
         "x_attempt_id": record.request_id,
         "x_deadline_ms": str(int(1000 * record.deadline)),
+        **({"x_credential": record.key} if record.key else {}),
         **headers,
     }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+import attrs
+
 from .fleet import (
     APPLY_SECONDS,
     DRAIN_SECONDS,
@@ -14,6 +16,7 @@
 from .node import Node
 from .processfaults import PROCESS_FAULTS
 from .proxy import Impairment
+from .usage import LEASE_SECONDS
 
 if TYPE_CHECKING:
     from .injector import Injector
@@ -131,6 +134,47 @@
     injector.fleet.configure(**{name: {} for name in injector.clients.added_routes})
 
 
+async def _change_keys(injector: "Injector", node: Node) -> None:
+    """Add a key of a tenant, and remove it again."""
+    key = injector.fleet.keys.add(injector.rng.random())
+    await _configure(injector, node)
+    key.added = time.monotonic()
+    await asyncio.sleep(APPLY_SECONDS + injector.draw_duration())
+    key.is_valid = False
+    await _configure(injector, node)
+    key.removed = time.monotonic()
+
+
+def _at_holder(kind: str) -> Callable:
+    """Return a fault at the holder of the duty, longer than its lease if it lasts."""
+
+    async def inject(injector: "Injector", node: Node) -> None:
+        longer = attrs.evolve(injector, min_duration=LEASE_SECONDS)
+        nodes = {n.name: n for n in injector.fleet.nodes}
+        await longer.inject(kind, nodes.get(injector.fleet.usage.holder, node))
+
+    return inject
+
+
+async def _cut_api(injector: "Injector", node: Node) -> None:
+    choices = (Impairment.SILENT, Impairment.UP_ONLY)
+    node.api_proxy.impairment = injector.rng.choice(choices)
+    await asyncio.sleep(injector.draw_duration())
+    node.api_proxy.impairment = Impairment.NONE
+    node.api_proxy.reset()
+
+
+async def _refuse_reports(injector: "Injector", _node: Node) -> None:
+    # Longer than a lease, so that a holder without one still has something to send.
+    usage = injector.fleet.usage
+    usage.refusing += 1
+    usage.api.status = 503
+    await asyncio.sleep(LEASE_SECONDS + injector.draw_duration())
+    usage.refusing -= 1
+    if not usage.refusing:
+        usage.api.status = 204
+
+
 async def _add_route(injector: "Injector", _node: Node) -> None:
     name = f"v{injector.fleet.version}"
     injector.clients.added_routes[name] = float("inf")
@@ -189,5 +233,13 @@
     "add-route": _add_route,
     "evacuate": _evacuate,
     "odd-rows": _write_odd_rows,
+    "keys": _change_keys,
+    "api-cut": _cut_api,
+    "api-busy": _refuse_reports,
+    "holder-kill": _at_holder("kill"),
+    "holder-term": _at_holder("term"),
+    "holder-pause": _at_holder("pause"),
+    "holder-store-cut": _at_holder("store-cut"),
+    "holder-api-cut": _at_holder("api-cut"),
 }
 """Function that injects each fault, by name."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,11 +11,13 @@
 from standins.meshfleet import make_document, send_request
 from standins.ports import choose_port
 from standins.rowstore import RowStoreApp, open_row_store
+from standins.usageapi import open_usage_api
 
 from .node import GRACE_SECONDS, Node
 from .proxy import FaultProxy
 from .records import ROUTES, InjectedFault
 from .target import SoakTarget
+from .usage import USAGE_BOUNDS, Keys, UsageWatch
 
 __all__ = [
     "APPLY_SECONDS",
@@ -70,7 +72,9 @@
         "heartbeat": "500ms",
         "limits": {"memory_mb": MEMORY_MB, "link_mbps": 1000.0},
         "platform": {"row_bytes": 65536},
+        "cloud": {"duties": ["usage"]},
         "bounds": {
+            **USAGE_BOUNDS,
             "drain": f"{DRAIN_SECONDS}s",
             "grace": f"{GRACE_SECONDS}s",
             "config": f"{APPLY_SECONDS}s",
@@ -95,6 +99,9 @@
         self.store_address: Address | None = None
         self.nodes: list[Node] = []
         self.version = 1
+        self.keys = Keys()
+        self.usage = UsageWatch()
+        self.api_address: Address | None = None
         self.stalls: list[tuple[float, float]] = []
         """Times in which the soak, with its clients and targets, was held up."""
         self.starvations: list[InjectedFault] = []
@@ -110,6 +117,9 @@
         store, _ = await open_row_store(address)
         fleet = cls(store, folder, rng)
         fleet.store_address = address
+        fleet.api_address = Address("127.0.0.1", choose_port())
+        fleet.usage.api, _ = await open_usage_api(fleet.api_address)
+        store.on_write = fleet.usage.note_write
         fleet.configure()
         try:
             for number in range(count):
@@ -150,6 +160,7 @@
         document["limits"]["header_timeout"] = HEADER_TIMEOUT
         for cluster in document["clusters"]:
             cluster["cold_per_s"] = COLD_RATE
+        document["tenants"] = self.keys.render()
         self.store.put_json("op", "config", document)
 
     async def _add_node(self, number: int) -> None:
@@ -160,13 +171,15 @@
         await target.start(is_cold=False)
         store_proxy = FaultProxy(lambda: self.store_address)
         target_proxy = FaultProxy(lambda: target.address)
-        for proxy in (store_proxy, target_proxy):
+        api_proxy = FaultProxy(lambda: self.api_address)
+        for proxy in (store_proxy, target_proxy, api_proxy):
             await proxy.open(ip)
         names = ("inbound", "outbound", "ready", "control")
         ports = {n: choose_port() for n in names}
         settings = _make_settings(name, centre, service, ip, ports)
         settings["app_addr"] = str(target_proxy.address)
         settings["platform"]["address"] = str(store_proxy.address)
+        settings["cloud"]["address"] = str(api_proxy.address)
         ip, _, port = settings["listen"]["control"].rpartition(":")
         target.announce_address = Address(ip, int(port))
         folder = self._folder
@@ -179,6 +192,7 @@
             target,
             store_proxy,
             target_proxy,
+            api_proxy,
         )
         self.nodes.append(node)
         self._tasks.append(asyncio.create_task(target.keep_announcing()))
@@ -212,7 +226,7 @@
             node.signal(signal.SIGKILL)
             if node.process is not None:
                 node.process.wait()
-            node.store_proxy.close()
-            node.target_proxy.close()
+            for proxy in (node.store_proxy, node.target_proxy, node.api_proxy):
+                proxy.close()
             if node.target.is_up:
                 node.target.crash()
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -54,6 +54,8 @@
     injected_faults: list[InjectedFault] = attrs.Factory(list)
     evacuations: list[tuple[str, float, float]] = attrs.Factory(list)
     """Data centre, start and end of each evacuation."""
+    min_duration: float = 0.0
+    """Added to the duration of each fault."""
     _busy: set[str] = attrs.Factory(set)
     """Nodes whose process is being stopped, started or paused."""
     _plan: Iterator[PlannedFault] = attrs.field()
@@ -86,7 +88,7 @@
 
     def draw_duration(self) -> float:
         """Return the random duration of a fault in seconds."""
-        return self.rng.uniform(*DURATION_SECONDS)
+        return self.min_duration + self.rng.uniform(*DURATION_SECONDS)
 
     async def run_exclusively(self, node: Node, operation: Awaitable[None]) -> None:
         """Await `operation` unless another one on the node's process is in progress."""
--- a/soak/node.py
+++ b/soak/node.py
@@ -33,6 +33,7 @@
     target: SoakTarget
     store_proxy: FaultProxy
     target_proxy: FaultProxy
+    api_proxy: FaultProxy
     process: subprocess.Popen | None = None
     start_count: int = 0
     """Number of processes started so far; it identifies the current one."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -20,6 +20,14 @@
         "term",
         "hup",
         "configure",
+        "keys",
+        "holder-kill",
+        "holder-term",
+        "holder-pause",
+        "holder-store-cut",
+        "holder-api-cut",
+        "api-cut",
+        "api-busy",
         "add-route",
         "evacuate",
         "odd-rows",
@@ -28,7 +36,8 @@
         "stop-centre",
     }
 )
-"""Planned operations: no client may lose an answer through them."""
+"""Planned operations, and faults of the platform's API: no client may lose an answer
+through them. The faults of a holder are recorded as what they do to its node."""
 
 
 def is_unsafe(path: str) -> bool:
@@ -66,6 +75,8 @@
     is_sealed: bool = True
     """Whether the answer bears the seal of a target."""
     retry_after: float = 0.0
+    key: str = ""
+    """Key of a tenant; empty for the calls of targets."""
     has_left: bool = False
     """Whether the client closed before the answer."""
 
@@ -94,6 +105,8 @@
     """0 if it did not end, or its caller had left."""
     status: int = 0
     answer_digest: str = ""
+    tenant: str = ""
+    """Tenant that the node stated."""
 
 
 @attrs.define
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -17,6 +17,7 @@
 from .injector import Injector
 from .observations import Observations, Violation
 from .timeline import write_timelines
+from .usage import DUE_SECONDS
 
 __all__ = ["Report", "run_soak"]
 
@@ -102,7 +103,9 @@
         async with asyncio.TaskGroup() as group:
             for _ in range(FAULT_SERIES):
                 group.create_task(injector.run_series(end_time))
+        last_fault = time.monotonic()
         await asyncio.sleep(RECOVERY_SECONDS)
+        await fleet.usage.wait_reported(last_fault, DUE_SECONDS - RECOVERY_SECONDS)
     finally:
         for task in tasks:
             task.cancel()
--- a/soak/target.py
+++ b/soak/target.py
@@ -235,6 +235,7 @@
         is_cold = started_at < self.cold_until
         digest = compute_digest(body)
         run = Run(request_id, path, self.instance, started_at, is_cold, digest)
+        run.tenant = headers.get(b"x-tenant", b"").decode()
         self.run_log.append(run)
         if self.rng.random() < self.endless_answer_share:
             await send_endlessly(writer, self.rng.choice(list(ENDLESS)))
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -78,6 +78,10 @@
     names = [node.name for node in observations.fleet.nodes]
     lines = {name: list(_read_lines(logs / f"{name}.log")) for name in names}
     with path.open("w", encoding="utf-8") as out:
+        for began, place, event in sorted(
+            _list_faults(observations, 0.0, float("inf"))
+        ):
+            out.write(f"{began:.3f} {place}: {event}\n")
         for violation in violations[:MAX_TIMELINES]:
             out.write(f"{violation.guarantee}: {violation.text}\n")
             record = records.get(violation.request_id)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from urllib.parse import parse_qs
 
 import attrs
@@ -35,6 +36,8 @@
     fault: str = "up"
     late_seconds: float = 0.2
     calls: int = 0
+    on_write: Callable[[str, bytes | None], object] = lambda _key, _value: None
+    """Called with the key and the value of each row that is written."""
     _changed: asyncio.Event = attrs.Factory(asyncio.Event)
 
     def put(self, table: str, key: str, value: bytes | None) -> int:
@@ -53,6 +56,7 @@
         else:
             self.rows[table, key] = (value, self.version)
         self.history.append((table, key, value, self.version))
+        self.on_write(key, value)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/standins/usageapi.py
+++ b/standins/usageapi.py
@@ -1,5 +1,7 @@
 """Stand-in for the platform's API that takes usage reports."""
 
+import time
+
 import attrs
 import msgspec
 
@@ -21,6 +23,14 @@
     token: int
     window: int
     counts: dict[str, int]
+    status: int = 204
+    """Status with which it was answered."""
+    at: float = attrs.field(factory=time.monotonic, eq=False)
+
+    @property
+    def is_accepted(self) -> bool:
+        """Return whether the report was acknowledged, as far as the API knows."""
+        return self.status < 300
 
 
 @attrs.define(eq=False)
@@ -29,6 +39,9 @@
 
     status: int = 204
     reports: list[UsageReport] = attrs.Factory(list)
+    """The accepted reports."""
+    calls: list[UsageReport] = attrs.Factory(list)
+    """All reports, also those that were not accepted."""
     requests: list[Request] = attrs.Factory(list)
 
     async def serve(self, request: Request) -> Response:
@@ -38,15 +51,16 @@
             return make_response(404)
         headers = {name.lower(): value.decode() for name, value in request.headers}
         report = msgspec.json.decode(request.body)
-        if self.status < 300:
-            self.reports.append(
-                UsageReport(
-                    headers[b"x-duty-holder"],
-                    int(headers[b"x-fence-token"]),
-                    report["window"],
-                    report["counts"],
-                )
-            )
+        call = UsageReport(
+            headers[b"x-duty-holder"],
+            int(headers[b"x-fence-token"]),
+            report["window"],
+            report["counts"],
+            self.status,
+        )
+        self.calls.append(call)
+        if call.is_accepted:
+            self.reports.append(call)
         return make_response(self.status)
 
     def get_counts(self) -> dict[int, dict[str, int]]:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -11,6 +11,7 @@
 from soak.records import InjectedFault, Record, Run
 from soak.target import LimitPeriod, SoakTarget
 from soak.timeline import write_timelines
+from soak.usage import Keys, UsageWatch
 
 NO_LOG = Path("no-log")
 
@@ -23,6 +24,7 @@
         self.unexpected_exits = unexpected_exits
         self.exit_statuses = [1] * unexpected_exits
         self.target = target
+        self.keys, self.usage = Keys(), UsageWatch()
         self.nodes = [self]
         self.stalls = []
 
