--- a/soak/usagechecks.py
+++ b/soak/usagechecks.py
@@ -24,6 +24,8 @@
 sent before its target starts to run it."""
 REPORT_SECONDS = 1.0
 """Time before the end or freeze of a node whose counts may be missing."""
+WAIT_SECONDS = 4.0
+"""Time after the end of a window for which silent nodes are waited for."""
 HELD_UP_KINDS = ("pause", "slow-host", "starved")
 FLEET_KINDS = frozenset(
     {"store-busy", "store-silent", "store-loses", "store-late", "store-restart"}
@@ -136,11 +138,20 @@
 
 def _is_uncertain(observations: Observations, node: str, moment: float) -> bool:
     """Return whether a node's count of a run may be lost with it, or come too late."""
-    return any(
-        fault.began - REPORT_SECONDS <= moment <= fault.ended + REPORT_SECONDS
-        for fault in observations.injected_faults
-        if fault.node == node and fault.kind in (*HELD_UP_KINDS, "kill")
-    )
+    usage = observations.fleet.usage
+    window = usage.find_window(moment)
+    due = usage.compute_start(window + 1) + WAIT_SECONDS
+    fixed = min((c.at for c in usage.calls if c.window == window), default=0.0)
+    for fault in observations.injected_faults:
+        if fault.node != node or fault.kind not in (*HELD_UP_KINDS, "kill"):
+            continue
+        if fault.began - REPORT_SECONDS <= moment <= fault.ended + REPORT_SECONDS:
+            return True
+        # The window was fixed without a node that was silent for so long.
+        is_long = fault.began <= fixed and due - REPORT_SECONDS <= fault.ended
+        if is_long and fault.kind != "kill":
+            return True
+    return False
 
 
 def _check_off(observations: Observations) -> Iterator[str]:
--- a/tests/test_soak_usage.py
+++ b/tests/test_soak_usage.py
@@ -112,6 +112,14 @@
         ("reported", {"calls": [make_call(25.1)], "rows": [make_row(25.0)]}),
         ("usage-off", {"calls": [make_call(count=92)]}),
         ("usage-off", {"calls": [make_call(count=107)]}),
+        (
+            "usage-off",
+            {
+                "calls": [make_call(19.1, count=60)],
+                "rows": [make_row(19.0)],
+                "faults": [InjectedFault("pause", "a", 14.9, 17.8)],
+            },
+        ),
         ("removed-key", {"records": [make_record()], "keys": [make_key(4.9)]}),
     ],
 )
@@ -142,6 +150,12 @@
             "calls": [make_call(count=85)],
             "faults": [InjectedFault("kill", "a", 14.8, 15.0)],
         },
+        # A node that was silent when the window had to be fixed, as the rules allow.
+        {
+            "calls": [make_call(19.1, count=0)],
+            "rows": [make_row(19.0)],
+            "faults": [InjectedFault("pause", "a", 14.9, 18.8)],
+        },
         {
             "calls": [make_call(count=107)],
             "records": [make_record(502)],
