Counts go to the next candidates while neither holder nor standby stays

Until another node took the usage duty over, nodes sent their counts to the last holder and its standby only. Once both had stopped, nobody had the counts of the other nodes, and one that died then lost seconds of them instead of half a second. Suspected from soak (6 nodes, 20 s), shown by the new test of test_usage_duty: 313 calls lost before, fewer than 24 after. test_usage_duty, test_usage_reports and test_lease_terms pass.

--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -10,7 +10,14 @@
 
 from .leases import LeaseTerms
 
-__all__ = ["DutyWatch", "LeaseTimes", "find_rank", "is_minority", "rank_nodes"]
+__all__ = [
+    "DutyWatch",
+    "LeaseTimes",
+    "choose_receivers",
+    "find_rank",
+    "is_minority",
+    "rank_nodes",
+]
 
 RANK_DELAY_SECONDS = 0.5
 """Delay of each candidate after the one before: a read, a write and a message to the
@@ -124,6 +131,18 @@
     return rank_nodes({node, *names}).index(node)
 
 
+def choose_receivers(holder: str, standby: str, staying: Iterable[str]) -> set[str]:
+    """Return the nodes that get the counts: the holder and its standby.
+
+    If neither is among `staying`, the other nodes that are up and not leaving, the next
+    two candidates get them as well: a node that dies then loses no more than otherwise.
+    """
+    names, staying = {holder, standby}, list(staying)
+    if names.isdisjoint(staying):
+        names.update(rank_nodes(staying)[:2])
+    return names
+
+
 def is_minority(connected: int, known: int) -> bool:
     """Return whether a node reaches less than half of the fleet, itself included."""
     return 2 * connected < known
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -15,7 +15,7 @@
 from ..platform.rows import RowStore
 from ..platform.usagereports import send_report
 from ..policy.truetime import DelayWatch, FastestVote, TrueTime, choose_fleet_time
-from ..policy.usagelease import rank_nodes
+from ..policy.usagelease import choose_receivers, rank_nodes
 from ..policy.usagewindows import Source, WindowTotals
 from ..store.httpcalls import HttpCalls
 from .counting import UsageCounter
@@ -117,8 +117,7 @@
             self._standby = frame.standby
         self.counter.drop_before(frame.first)
         self.totals.drop_before(frame.first)
-        for window in [window for window in self._changed if window < frame.first]:
-            del self._changed[window]
+        self._changed = {w: n for w, n in self._changed.items() if w >= frame.first}
         now = self.read_boottime()
         if frame.time_ms and not self._delays.is_late(now):
             self.clock.note_fleet_time(frame.time_ms / 1000, now)
@@ -173,7 +172,9 @@
         report = self._make_report()
         self._merge(report)
         members = {member.node: member for member in self.list_members()}
-        for name in {self.duty.watch.holder, self._standby} & members.keys():
+        staying = [m.node for m in members.values() if m.is_up and not m.is_leaving]
+        receivers = choose_receivers(self.duty.watch.holder, self._standby, staying)
+        for name in receivers & members.keys():
             self._send_changes(members[name], report)
         self._pass_on_lost(members)
 
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -457,6 +457,28 @@
     assert_rules(run_fleet(scenario))
 
 
+def test_node_that_dies_while_nobody_holds_the_duty_loses_half_a_second():
+    """Guards against counts that no other node has once holder and standby are gone."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(22.3)
+        holder = await fleet.wait_holder()
+        standby = fleet.hosts[holder].reporter._standby
+        fleet.store.fault = "busy"
+        await fleet.stop(holder, drain=0.1)
+        await fleet.stop(standby, drain=0.1)
+        await asyncio.sleep(4)
+        fleet.kill(next(n for n in NODES if n not in (holder, standby)))
+        fleet.store.fault = ""
+        await asyncio.sleep(40)
+
+    fleet = run_fleet(scenario)
+    reported = {report.window: report.counts["pulo"] for report in fleet.reports}
+    lost = sum(fleet.truth[window]["pulo"] - n for window, n in reported.items())
+    # The node starts 40 calls a second.
+    assert_that(lost, LessThan(0.6 * 40))
+
+
 def test_counts_of_an_ended_node_reach_a_holder_that_was_not_the_standby():
     """Guards against counts that remain with a standby that can't take over."""
 
