--- a/tests/test_key_times.py
+++ b/tests/test_key_times.py
@@ -44,8 +44,8 @@
 
     key: str
     upstream: Upstream
-    answers: list[tuple[float, int]] = attrs.Factory(list)
-    """Time at which each request was sent, and its status."""
+    answers: list[tuple[float, float, int]] = attrs.Factory(list)
+    """Times at which each request was sent and answered, and its status."""
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -54,12 +54,16 @@
             headers = {"x-credential": self.key}
             request = render_request(b"GET", "/read/plain/0", headers)
             answer = await self.upstream.exchange(request)
-            self.answers.append((sent, answer.status))
+            self.answers.append((sent, time.monotonic(), answer.status))
             await asyncio.sleep(REQUEST_SECONDS)
 
     def find_statuses(self, since: float, until: float = float("inf")) -> set[int]:
-        """Return the statuses of the requests sent in some time."""
-        return {status for sent, status in self.answers if since <= sent < until}
+        """Return the statuses of the requests sent and answered in some time."""
+        return {
+            status
+            for sent, answered, status in self.answers
+            if since <= sent and answered < until
+        }
 
 
 def configure(fleet, *keys) -> float:
@@ -136,10 +140,10 @@
             ADDED: (200, added_by),
             REMOVED: (401, removed_by),
         }[client.key]
-        late = [sent for sent, status in client.answers if status != last]
+        late = [sent for sent, _, status in client.answers if status != last]
         if client.find_statuses(due) != {last}:
             yield f"{place}: not {last} {max(late) - changed:.2f} s after the change"
-        turns = [status for _, status in client.answers]
+        turns = [status for *_, status in client.answers]
         changes = sum(a != b for a, b in zip(turns, turns[1:], strict=False))
         if changes > 1:
             yield f"{place}: changed {changes} times"
