--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -14,8 +14,8 @@
 from ..observe.counters import Counters
 from ..platform.rows import RowStore
 from ..platform.usagereports import send_report
-from ..policy.truetime import FastestVote, TrueTime, choose_fleet_time
-from ..policy.usagelease import rank_nodes
+from ..policy.truetime import DelayWatch, FastestVote, TrueTime, choose_fleet_time
+from ..policy.usagelease import choose_receivers, rank_nodes
 from ..policy.usagewindows import Source, WindowTotals
 from ..store.httpcalls import HttpCalls
 from .counting import UsageCounter
@@ -62,6 +62,7 @@
     counter: UsageCounter = attrs.field(init=False)
     duty: UsageDuty = attrs.field(init=False)
     sender: ReportSender = attrs.field(init=False)
+    _delays: DelayWatch = attrs.field(init=False)
     _sequence: int = 0
     _ticks: int = 0
     _changed: dict[int, int] = attrs.Factory(dict)
@@ -78,6 +79,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts."""
         now = self.read_boottime()
+        self._delays = DelayWatch(TICK_SECONDS, now)
         self.clock = TrueTime(now)
         self.clock.add_sample(self.read_wall(), now)
         self.counter = UsageCounter(
@@ -115,10 +117,9 @@
             self._standby = frame.standby
         self.counter.drop_before(frame.first)
         self.totals.drop_before(frame.first)
-        for window in [window for window in self._changed if window < frame.first]:
-            del self._changed[window]
-        if frame.time_ms:
-            now = self.read_boottime()
+        self._changed = {w: n for w, n in self._changed.items() if w >= frame.first}
+        now = self.read_boottime()
+        if frame.time_ms and not self._delays.is_late(now):
             self.clock.note_fleet_time(frame.time_ms / 1000, now)
 
     # Frames of other nodes.
@@ -140,9 +141,10 @@
         self.totals.merge(source, frame.sequence, frame.windows)
         if frame.until_ms:
             self.totals.note_complete(frame.node, frame.until_ms / 1000)
-        if frame.time_ms:
+        now = self.read_boottime()
+        if frame.time_ms and not self._delays.is_late(now):
             vote = self._votes.setdefault(frame.node, FastestVote())
-            vote.add(frame.time_ms / 1000 - self.read_boottime())
+            vote.add(frame.time_ms / 1000 - now)
 
     def _get_fleet_time(self, now: float) -> float | None:
         """Return the time that most nodes agree on, once most have stated theirs."""
@@ -163,13 +165,16 @@
 
     def tick(self) -> None:
         """Send the totals that have changed to the holder and its standby."""
+        self._delays.beat(self.read_boottime())
         self._ticks += 1
         if self._ticks % CLOCK_SAMPLE_TICKS == 0:
             self.clock.add_sample(self.read_wall(), self.read_boottime())
         report = self._make_report()
         self._merge(report)
         members = {member.node: member for member in self.list_members()}
-        for name in {self.duty.watch.holder, self._standby} & members.keys():
+        staying = [m.node for m in members.values() if m.is_up and not m.is_leaving]
+        receivers = choose_receivers(self.duty.watch.holder, self._standby, staying)
+        for name in receivers & members.keys():
             self._send_changes(members[name], report)
         self._pass_on_lost(members)
 
@@ -220,13 +225,21 @@
             return
         if holder.node != self._passed_on[0]:
             self._passed_on = (holder.node, set())
-        running = {m.node: m.start_time for m in members.values() if m.is_up}
-        running[self.node] = self.start_time
-        for source, sequence, windows in self.totals.list_lost(running):
+        for totals in self._list_lost(members):
+            source = (totals.node, totals.start_time)
             if source not in self._passed_on[1]:
-                holder.link.send(UsageTotals(*source, sequence, windows))
+                holder.link.send(totals)
                 self._passed_on[1].add(source)
 
+    def _list_lost(self, members: dict[str, Member]) -> list[UsageTotals]:
+        """Return the totals of nodes that have ended."""
+        running = {m.node: m.start_time for m in members.values() if m.is_up}
+        running[self.node] = self.start_time
+        return [
+            UsageTotals(*source, sequence, windows)
+            for source, sequence, windows in self.totals.list_lost(running)
+        ]
+
     # Planned stop.
 
     def prepare_stop(self) -> None:
@@ -236,6 +249,7 @@
     async def finish(self, seconds: float) -> None:
         """Send the last counts, and wait up to `seconds` until a node has them."""
         end = self.read_boottime() + min(MAX_FINISH_SECONDS, seconds)
+        self.clock.settle()
         report = self._make_report()
         self._merge(report)
         report.wants_receipt = True
@@ -243,8 +257,10 @@
         ranked = rank_nodes(name for name, m in members.items() if not m.is_leaving)
         preferred = [self.duty.watch.holder, self._standby, *ranked]
         names = [name for name in dict.fromkeys(preferred) if name in members]
+        # Without a holder, this node may be the last one to have the totals of others.
         for name in names[:FINAL_COPIES]:
-            members[name].link.send(report)
+            for totals in [*self._list_lost(members), report]:
+                members[name].link.send(totals)
         while names and self.read_boottime() < end:
             if report.sequence in self._receipts:
                 return
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -9,7 +9,7 @@
 
 from cactusshed.emulator.virtualtime import run_in_virtual_time
 
-from .usagefleet import UsageFleet
+from .usagefleet import EPOCH, UsageFleet
 
 NODES = ("a1", "a2", "b1", "b2", "c1")
 
@@ -382,6 +382,48 @@
     assert_rules(fleet)
 
 
+def test_planned_stops_of_all_nodes_without_a_holder_lose_no_counts():
+    """Guards against counts of a stopped node that end with those that have them.
+
+    The store is down, so that no node may hold the duty, and all nodes are restarted
+    one after the other meanwhile.
+    """
+
+    async def scenario(fleet):
+        await asyncio.sleep(21.7)
+        fleet.store.fault = "busy"
+        await asyncio.sleep(4)
+        for name in NODES:
+            await fleet.stop(name, drain=0.5)
+            fleet.start(name)
+            await asyncio.sleep(0.5)
+        fleet.store.fault = ""
+        await asyncio.sleep(40)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet, late=fleet.find_late())
+
+
+def test_stop_soon_after_a_start_loses_no_counts():
+    """Guards against counts lost because the clock was not compared before the stop."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(21.7)
+        holder = await fleet.wait_holder()
+        other = next(name for name in NODES if name != holder)
+        fleet.store.fault = "busy"
+        await asyncio.sleep(4)
+        await fleet.stop(other)
+        fleet.start(other)
+        await asyncio.sleep(4)
+        await fleet.stop(other, drain=0.5)
+        fleet.store.fault = ""
+        await asyncio.sleep(30)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet, late=fleet.find_late())
+
+
 def test_stop_of_the_last_moment_is_counted():
     """Guards against a node that exits before its last counts have arrived."""
 
@@ -415,6 +457,28 @@
     assert_rules(run_fleet(scenario))
 
 
+def test_node_that_dies_while_nobody_holds_the_duty_loses_half_a_second():
+    """Guards against counts that no other node has once holder and standby are gone."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(22.3)
+        holder = await fleet.wait_holder()
+        standby = fleet.hosts[holder].reporter._standby
+        fleet.store.fault = "busy"
+        await fleet.stop(holder, drain=0.1)
+        await fleet.stop(standby, drain=0.1)
+        await asyncio.sleep(4)
+        fleet.kill(next(n for n in NODES if n not in (holder, standby)))
+        fleet.store.fault = ""
+        await asyncio.sleep(40)
+
+    fleet = run_fleet(scenario)
+    reported = {report.window: report.counts["pulo"] for report in fleet.reports}
+    lost = sum(fleet.truth[window]["pulo"] - n for window, n in reported.items())
+    # The node starts 40 calls a second.
+    assert_that(lost, LessThan(0.6 * 40))
+
+
 def test_counts_of_an_ended_node_reach_a_holder_that_was_not_the_standby():
     """Guards against counts that remain with a standby that can't take over."""
 
@@ -461,6 +525,41 @@
     assert_rules(run_fleet(scenario))
 
 
+@pytest.mark.parametrize("is_holder", [False, True])
+def test_times_that_waited_for_a_frozen_node_are_not_used(is_holder):
+    """Guards against calls moved to an earlier window by the age of a message.
+
+    A node is frozen before it has heard of the fleet's time. When it wakes up, it reads
+    messages that are seconds old: those of the holder, or of all nodes as the holder.
+    """
+
+    async def scenario(fleet):
+        await asyncio.sleep(2 if is_holder else 20)
+        name = await fleet.wait_holder()
+        if not is_holder:
+            name = next(other for other in NODES if other != name)
+            fleet.kill(name)
+            fleet.start(name)
+            await asyncio.sleep(0.1)
+        host = fleet.hosts[name]
+        host.freeze()
+        await asyncio.sleep(1.5)
+        if not is_holder:
+            fleet.kill(await fleet.wait_holder())
+        await asyncio.sleep(2)
+        host.wake()
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            for found in fleet.hosts.values():
+                offset = found.reporter.clock.get_offset()
+                errors.append(abs(offset + found.boot_base - EPOCH))
+        await asyncio.sleep(20)
+
+    errors = []
+    run_fleet(scenario)
+    assert_that(max(errors), LessThan(0.2))
+
+
 def test_node_that_starts_during_a_jump():
     """Guards against calls counted in wrong windows before the clock is corrected."""
 
