--- a/cactusshed/settings.py
+++ b/cactusshed/settings.py
@@ -50,6 +50,7 @@
     announce_ttl: float = 5.0
     max_body: int = 8 << 20
     max_connections: int = 1000
+    memory_bytes: int = 512 << 20
     claim_rate: int = 200
     log: str = "-"
 
@@ -78,11 +79,16 @@
     return tuple(parse_address(option, part) for part in parts if part)
 
 
+def _parse_megabytes(option: str, text: str) -> int:
+    return parse_int(64, 1 << 20)(option, text) << 20
+
+
 _OPTIONS: dict[tuple[str, str], tuple[str, Callable[[str, str], Any]]] = {
     ("node", "name"): ("node", parse_name),
     ("node", "region"): ("region", parse_name),
     ("node", "data-centre"): ("data_centre", parse_name),
     ("node", "log"): ("log", _parse_text),
+    ("node", "memory-mb"): ("memory_bytes", _parse_megabytes),
     ("callers", "listen"): ("callers", parse_address),
     ("callers", "max-body"): ("max_body", parse_int(1024, 1 << 30)),
     ("callers", "max-connections"): ("max_connections", parse_int(1, 100_000)),
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -7,12 +7,12 @@
 import asyncio
 import itertools
 import socket
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager, suppress
 
 from cactusshed.options import Address
 
-__all__ = ["CROWDS", "make_reads", "open_crowd"]
+__all__ = ["CROWDS", "SHORT_LINES", "add_key", "make_reads", "open_crowd"]
 
 REOPEN_SECONDS = 0.2
 """Pause before a closed connection is opened again."""
@@ -26,6 +26,8 @@
 """Size of the other heads as a listener counts it."""
 BODY_BYTES = 65_535
 """Size of the bodies that arrive, one byte less than a `max_body_bytes` of 65536."""
+EXTENDED_CHUNKS = 1000
+"""Chunks with an extension of one body."""
 TINY_CHUNKS = 16_384
 """Chunks of a byte of one body; more take a node seconds to parse."""
 
@@ -58,23 +60,27 @@
 
 
 _LETTERS = [bytes((c,)) for c in b"abcdefghijklmnopqrstuvwyz"]
-_SHORT_LINES = [b"%s%s:%s\r\n" % (a, b, a) for a in _LETTERS for b in _LETTERS] * 2
+SHORT_LINES = [b"%s%s:%s\r\n" % (a, b, a) for a in _LETTERS for b in _LETTERS] * 2
+"""Header lines that cost many times their bytes once they are parsed."""
 _EQUAL_LINES = [b"a:\r\n"] * HEAD_BYTES
 _ODD_LINES = [
     b"o%d:%s\r\n" % (n, bytes((0x80 + n % 0x7F,)) * (1 + n % 3)) for n in range(800)
 ]
+_FOLDED_LINES = [b"f:a\r\n b\r\n\tc\r\n"] * HEAD_BYTES
 _POSTED = b"content-length: 4096\r\n\r\n"
 
 CROWDS = {
     "large-chunks": _CHUNKED + b"10000\r\n" + b"b" * BODY_BYTES,
     "tiny-chunks": _CHUNKED + b"1\r\nb\r\n" * TINY_CHUNKS,
     "length": _START + b"content-length: 65536\r\n\r\n" + b"b" * BODY_BYTES,
-    "short-lines": _START + _fill(_SHORT_LINES),
-    "short-lines-complete": _START + _fill_counted(_SHORT_LINES) + _POSTED,
+    "short-lines": _START + _fill(SHORT_LINES),
+    "short-lines-complete": _START + _fill_counted(SHORT_LINES) + _POSTED,
     "equal-lines": _START + _fill(_EQUAL_LINES),
     "equal-lines-complete": _START + _fill_counted(_EQUAL_LINES) + _POSTED,
     "odd-values": _START + _fill(_ODD_LINES),
-    "trailers": _CHUNKED + b"1\r\nb\r\n0\r\n" + _fill_counted(_SHORT_LINES),
+    "folded-lines": _START + _fill(_FOLDED_LINES),
+    "extensions": _CHUNKED + b"1;name=value\r\nb\r\n" * EXTENDED_CHUNKS,
+    "trailers": _CHUNKED + b"1\r\nb\r\n0\r\n" + _fill_counted(SHORT_LINES),
     "silent": b"",
 }
 """What each connection of a crowd sends; no message is complete."""
@@ -92,7 +98,13 @@
     )
 
 
-async def _stay(address: Address, data: bytes, read_size: int) -> None:
+def add_key(data: bytes, key: str) -> bytes:
+    """Return the data of a connection with the key of an organisation in each head."""
+    host = b"host: shop.example\r\n"
+    return data.replace(host, host + b"x-credential: %s\r\n" % key.encode())
+
+
+async def _stay(address: Address, data, read_size: int) -> None:
     """Send the data; then read so much every second, until the server closes."""
     sock = socket.socket()
     sock.setblocking(False)
@@ -108,7 +120,10 @@
         # Only the kernel's buffer of the receiver fills up.
         writer.transport.pause_reading()
     try:
-        writer.write(data.replace(ID_PLACE, b"%d" % next(_numbers)))
+        number = next(_numbers)
+        if callable(data):
+            data = data(number)
+        writer.write(data.replace(ID_PLACE, b"%d" % number))
         await writer.drain()
         while True:
             await asyncio.sleep(1.0)
@@ -122,9 +137,15 @@
 
 @asynccontextmanager
 async def open_crowd(
-    address: Address, data: bytes, count: int, read_size: int = 1024
+    address: Address,
+    data: bytes | Callable[[int], bytes],
+    count: int,
+    read_size: int = 1024,
 ) -> AsyncIterator[None]:
-    """Keep `count` connections of uncontrolled clients open while the context is."""
+    """Keep `count` connections of uncontrolled clients open while the context is.
+
+    `data` is what each of them sends, or a function of the number of the connection.
+    """
 
     async def repeat() -> None:
         while True:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -54,8 +54,10 @@
                 f"name = {self.name}",
                 f"region = {self.region}",
                 f"data-centre = {self.data_centre}",
+                *(f"{n} = {options[n]}" for n in ("memory-mb",) if n in options),
                 "[callers]",
                 f"listen = {IP}:{self.callers_port}",
+                *(f"{n} = {options[n]}" for n in ("max-connections",) if n in options),
                 "[peers]",
                 f"calls = {IP}:{self.calls_port}",
                 *(
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -30,7 +30,8 @@
     500, or with `fail-503` for example that status, after the run), `hang` (do not
     answer for an hour), `unframed` (omit the content length), `unframed-reset` (also
     reset the connection in the middle), `mute` (answer neither this request, which is
-    not run, nor any later one of the connection), and those of `endless`.
+    not run, nor any later one of the connection), `open-head` (send `open_head` and
+    nothing else), and those of `endless`.
     """
 
     instance: str = "i-1"
@@ -41,6 +42,8 @@
     """Limit in requests per second that it names in every answer, if any."""
     is_leaving: bool = False
     """Whether every answer says that it is leaving."""
+    open_head: bytes = b""
+    """Head without end of the action `open-head`."""
     script: dict[str, str] = attrs.Factory(dict)
     runs: Counter = attrs.Factory(Counter)
     requests: list[tuple[bytes, dict[bytes, bytes], bytes]] = attrs.Factory(list)
@@ -107,6 +110,10 @@
         if action == "shed":
             self._write(writer, 503, headers, b"", sealed=False, refused=True)
             return True
+        if action == "open-head":
+            writer.write(self.open_head)
+            await reader.read()
+            return False
         if action == "mute":
             self.muted += 1
             await reader.read()
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -22,7 +22,8 @@
 
 from cactusshed.errors import CactusError
 from cactusshed.options import Address
-from standins.crowd import CROWDS, make_reads, open_crowd
+from standins.crowd import CROWDS, SHORT_LINES, add_key, make_reads, open_crowd
+from standins.linkcrowd import LINK_CROWDS, call_over_link
 from standins.meshfleet import make_document, send_request, wait_for
 from standins.meshtarget import MeshTarget, open_mesh_target
 from standins.ports import choose_port
@@ -45,8 +46,25 @@
 OTHER_DESCRIPTORS = 4096
 TEST_SECONDS = 60.0
 """Far above what a test needs, so that only a hang fails."""
-ROUTES = {"/read/": {"timeout": "20s"}, "/long/": {"timeout": "20s"}}
+PATHS = ("/read/", "/long/", "/hang/", "/open-head/")
+ROUTES = {path: {"timeout": "20s"} for path in PATHS}
 IP = "127.0.3.1"
+METRICS_PORT = 9464
+"""Port of the metrics, which is not among the settings."""
+LINKS = 200
+LINK_COUNTS = {"open-frames": 800, "open-frames-unnamed": 800, "long-results": READERS}
+LINK_SLOTS = 400
+"""Slots of the target for calls of links, so that not only its queue holds them."""
+ANSWERED_HEADS = 100
+"""Answers of the target whose heads don't end, at a time."""
+OPEN_HEAD = b"HTTP/1.1 200 OK\r\n" + b"".join(SHORT_LINES * 8)[:60_000]
+TENANTS = [
+    {"name": "acme", "api_keys": ["key-of-acme-7f3a"], "priority": 0},
+    {"name": "bolt", "api_keys": ["key-of-bolt-91c2"], "priority": 2},
+]
+ORDINARY_KEY, CROWD_KEY, UNKNOWN_KEY = "key-of-acme-7f3a", "key-of-bolt-91c2", "x-4d1"
+OTHER_LISTENERS = ("control", "ready", "metrics", "inbound")
+OTHER_CROWDS = ("large-chunks", "equal-lines", "folded-lines", "extensions", "trailers")
 
 
 @attrs.define(eq=False)
@@ -56,9 +74,13 @@
     process: subprocess.Popen
     settings: dict
     target: MeshTarget
+    key: str = ""
+    slots: int = 4
 
     def get_address(self, name: str) -> Address:
         """Return the address of one of its listeners."""
+        if name == "metrics":
+            return Address(IP, METRICS_PORT)
         ip, _, port = self.settings["listen"][name].rpartition(":")
         return Address(ip, int(port))
 
@@ -66,6 +88,8 @@
         """Return the status of one ordinary request; 0 without an answer."""
         headers = {"x-attempt-id": "ordinary", "x-deadline-ms": "5000"}
         headers["host"] = "shop.example"
+        if self.key:
+            headers["x-credential"] = self.key
         try:
             async with asyncio.timeout(6.0):
                 answer = await send_request(
@@ -79,6 +103,10 @@
         """Return whether an ordinary request is answered with 200."""
         return await self.request() == 200
 
+    async def is_served_over_link(self) -> bool:
+        """Return whether an ordinary call of another node is answered with 200."""
+        return await call_over_link(self.get_address("inbound"), "/read/x") == 200
+
     def read_peak_mb(self) -> float:
         """Return the peak memory of the process."""
         lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
@@ -96,7 +124,7 @@
             "address": str(self.target.address),
             "zone": "z",
             "version": "v1",
-            "slots": 4,
+            "slots": self.slots,
             "state": "ready",
             "cold_left": "0ms",
             "seq": 1,
@@ -131,15 +159,24 @@
 
 
 @asynccontextmanager
-async def open_node(folder: Path, max_descriptors: int = OTHER_DESCRIPTORS):
+async def open_node(
+    folder: Path,
+    max_descriptors: int = OTHER_DESCRIPTORS,
+    tenants: list[dict] | None = None,
+    slots: int = 4,
+):
     """Yield a node process that serves ordinary requests."""
     store_address = Address("127.0.0.1", choose_port())
     store, store_listener = await open_row_store(store_address)
     document = make_document(1, ROUTES, ["a"])
     # Partial requests stay for the whole test, whatever the speed of the machine.
     document["limits"].update(header_timeout="30s", idle_timeout="30s")
+    if tenants:
+        document["tenants"] = tenants
     store.put_json("op", "config", document)
-    target = await open_mesh_target()
+    target = await open_mesh_target(
+        open_head=OPEN_HEAD, script={"/hang/x": "hang", "/open-head/x": "open-head"}
+    )
     settings = _make_settings(store_address, target.address, max_descriptors)
     path = folder / "settings.json"
     path.write_bytes(msgspec.json.encode(settings))
@@ -153,7 +190,8 @@
             stderr=log,
         )
     resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (limit, limit))
-    node = RunningNode(process, settings, target)
+    key = ORDINARY_KEY if tenants else ""
+    node = RunningNode(process, settings, target, key, slots)
     try:
         await wait_for(node.announce)
         await wait_for(node.is_served)
@@ -166,27 +204,33 @@
 
 
 def run_crowd(folder, *crowds, listener="outbound", **options):
+    """Return what a node looks like after crowds at one listener; see `run_crowds`."""
+    return run_crowds(folder, {listener: crowds}, **options)
+
+
+def run_crowds(folder, crowds, *, with_links=False, **options):
     """Return what a node looks like after crowds, and whom it also serves beside them.
 
-    Each crowd has the data of a connection, their number, and how much each of them
-    reads at a time. Returned are the exit status, the peak memory and the open
-    descriptors.
+    For each listener there are crowds, each with the data of a connection, their
+    number, and how much each of them reads at a time. Returned are the exit status, the
+    peak memory and the open descriptors. `with_links` requires a call of another node
+    to be answered as well.
     """
-    max_descriptors = options.get("max_descriptors", OTHER_DESCRIPTORS)
 
     async def work():
-        async with (
-            open_node(folder, max_descriptors) as node,
-            AsyncExitStack() as open_,
-        ):
+        async with open_node(folder, **options) as node, AsyncExitStack() as open_:
             node.target.body = LONG_ANSWER
-            address = node.get_address(listener)
-            for crowd in crowds:
-                await open_.enter_async_context(open_crowd(address, *crowd))
+            for listener, of_listener in crowds.items():
+                address = node.get_address(listener)
+                for crowd in of_listener:
+                    await open_.enter_async_context(open_crowd(address, *crowd))
             await asyncio.sleep(CROWD_SECONDS)
             descriptors = node.count_descriptors()
             node.target.body = b"done"
-            await wait_for(node.is_served)
+            if with_links:
+                await wait_for(node.is_served_over_link)
+            else:
+                await wait_for(node.is_served)
             await open_.aclose()
             await wait_for(node.is_served)
             return node.process.poll(), node.read_peak_mb(), descriptors
@@ -234,14 +278,14 @@
     check(result, MAX_DESCRIPTORS)
 
 
-@pytest.mark.parametrize("listener", ["control", "ready"])
-@pytest.mark.parametrize("name", ["large-chunks", "equal-lines"])
+@pytest.mark.parametrize("listener", OTHER_LISTENERS)
+@pytest.mark.parametrize("name", OTHER_CROWDS)
 def test_other_listeners_stay_within_the_memory(tmp_path, listener, name):
     """The listeners of announcements and probes held as much as that of callers."""
     check(run_crowd(tmp_path, (CROWDS[name], CROWD_SIZE), listener=listener))
 
 
-@pytest.mark.parametrize("listener", ["control", "ready"])
+@pytest.mark.parametrize("listener", OTHER_LISTENERS)
 def test_other_listeners_leave_descriptors(tmp_path, listener):
     """Connections to the other listeners take descriptors of the same process."""
     crowd = (CROWDS["silent"], SILENT)
@@ -249,3 +293,46 @@
         tmp_path, crowd, listener=listener, max_descriptors=MAX_DESCRIPTORS
     )
     check(result, MAX_DESCRIPTORS)
+
+
+@pytest.mark.parametrize("key", [CROWD_KEY, UNKNOWN_KEY])
+@pytest.mark.parametrize("name", ["large-chunks", "equal-lines-complete"])
+def test_keys_of_organisations_bound_nothing(tmp_path, key, name):
+    """Clients with a key, or with one that is refused, hold as much as others."""
+    crowd = (add_key(CROWDS[name], key), CROWD_SIZE)
+    check(run_crowd(tmp_path, crowd, tenants=TENANTS))
+
+
+def test_unread_refusals_stay_within_the_memory(tmp_path):
+    """Refusals of unknown keys wait for their readers as answers do."""
+    reads = add_key(make_reads("/read/x", PIPELINED * 10), UNKNOWN_KEY)
+    check(run_crowd(tmp_path, (reads, CROWD_SIZE, 0), tenants=TENANTS))
+
+
+@pytest.mark.parametrize("name", LINK_CROWDS)
+def test_links_stay_within_the_memory(tmp_path, name):
+    """Calls of other nodes held heads, open frames and unread results without bound.
+
+    A call of an ordinary node, over a link of its own, is answered all the same.
+    """
+    crowd = (LINK_CROWDS[name], LINK_COUNTS.get(name, LINKS), 0)
+    slots = 4 if name == "long-results" else LINK_SLOTS
+    options = {"listener": "inbound", "with_links": True, "slots": slots}
+    check(run_crowd(tmp_path, crowd, **options))
+
+
+def test_heads_of_answers_stay_within_the_memory(tmp_path):
+    """Heads of a target's answers were bounded one by one, not together."""
+    reads = make_reads("/open-head/x", 1)
+    check(run_crowd(tmp_path, (reads, ANSWERED_HEADS), slots=2 * ANSWERED_HEADS))
+
+
+def test_crowds_at_all_listeners_stay_within_the_memory(tmp_path):
+    """Bounds that hold for each listener added up to more than the memory."""
+    crowds = [(data, CROWD_SIZE // len(CROWDS)) for data in CROWDS.values()]
+    reads = make_reads("/long/x", PIPELINED)
+    links = [(data, LINKS // len(LINK_CROWDS), 0) for data in LINK_CROWDS.values()]
+    everywhere = dict.fromkeys(OTHER_LISTENERS, crowds)
+    everywhere["outbound"] = [*crowds, (reads, READERS, 0)]
+    everywhere["inbound"] = [*crowds, *links]
+    check(run_crowds(tmp_path, everywhere))
