Bounds on what calls and results of other nodes hold, and on heads of answers

Heads of calls on links, unfinished frames up to 64 KiB each, results that a node does not read, connections to the inbound port and heads of answers were bounded one by one at most. Bodies of other nodes' calls shared their budget with callers, who could take all of it.

Heads and small bodies of calls now have a budget of their own, half of which long heads can't take; bodies have a share that callers can't take. Frames are charged from 4 KiB on; stalled ones are evicted, those of nodes without a name first. Beyond a limit of unread results, calls are refused, and links that have taken nothing for 1 s are closed. Links without a name and links per node are limited, as are the long heads of answers. The connections of the control, ready and metrics listeners are limited by the memory too.

--- a/cactusshed/connections/holders.py
+++ b/cactusshed/connections/holders.py
@@ -1,4 +1,4 @@
-"""Evictions: which clients of a listener give way when its budgets are spent."""
+"""Evictions: which clients of a listener are closed when its budgets are spent."""
 
 import asyncio
 from collections.abc import Callable, Iterator
@@ -12,6 +12,7 @@
     ClientBudgets,
     count_evicted,
     is_stalled,
+    is_stuck,
     list_oldest,
 )
 
@@ -21,10 +22,7 @@
 __all__ = ["Holders"]
 
 RESCAN_SECONDS = 0.05
-"""Pause after a scan of all connections that found nobody to give way."""
-
-STUCK_SECONDS = 1.0
-"""Time without progress after which an unread answer gives way to a new connection."""
+"""Pause after a scan of all connections that found nobody to evict."""
 
 
 @attrs.define(eq=False)
@@ -135,12 +133,11 @@
 
 
 def _rank(connection: "Connection", now: float) -> int | None:
-    """Return how early a connection gives way, `None` if it is in use."""
+    """Return how early a connection is evicted, `None` if it is in use."""
     if connection.is_discarding and not connection.is_busy:
         return 0
     if connection.is_busy:
         return None
     if connection.outgoing.unread_bytes:
-        is_stuck = now - connection.outgoing.progressed_at >= STUCK_SECONDS
-        return 3 if is_stuck else None
+        return 3 if is_stuck(now, connection.outgoing.progressed_at) else None
     return 2 if connection.has_served else 1
--- a/cactusshed/mesh/answermeter.py
+++ b/cactusshed/mesh/answermeter.py
@@ -3,6 +3,11 @@
 import attrs
 
 from ..policy.bodybudget import BodyBudget
+from ..policy.clientmemory import (
+    ORDINARY_HEAD_BYTES,
+    compute_head_cost,
+    reserve_head,
+)
 from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, get_framing_limit
 
 __all__ = ["AnswerMeter", "TooManyBytes"]
@@ -24,13 +29,20 @@
 
 @attrs.define(eq=False)
 class AnswerMeter:
-    """Counts the bytes of one answer; its body counts against `budget`."""
+    """Counts the bytes of one answer.
+
+    Its body counts against `budget`, and against `heads` a head that is longer than
+    ordinary ones, so that these always have room.
+    """
 
     budget: BodyBudget
+    heads: BodyBudget | None = None
     violation: str = ""
     """The limit that was exceeded."""
     _received: int = 0
     _header_bytes: int = 0
+    _line_count: int = 0
+    _head_cost: int = 0
     _body_bytes: int = 0
     _interim_count: int = 0
     _chunk_count: int = 0
@@ -38,6 +50,8 @@
     def add_received(self, size: int, *, has_head: bool) -> None:
         """Count bytes from the connection, after they were parsed."""
         self._received += size
+        if self.heads is not None:
+            self._charge_head()
         if not has_head and self._received > MAX_HEAD_BYTES:
             self._exceed("answer head is too large")
         framing_bytes = self._received - self._body_bytes - size
@@ -46,9 +60,18 @@
         # A chunk that is read in two parts, or a body that is no chunk, counts once.
         self._chunk_count = max(0, self._chunk_count - 1)
 
+    def _charge_head(self) -> None:
+        cost = compute_head_cost(self._line_count, self._header_bytes)
+        if cost <= ORDINARY_HEAD_BYTES or cost <= self._head_cost:
+            return
+        if not reserve_head(self.heads, cost - self._head_cost, self._head_cost):
+            self._exceed("heads of all answers are too large")
+        self._head_cost = cost
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Count a header or a trailer."""
         self._header_bytes += len(name) + len(value) + LINE_BYTES
+        self._line_count += 1
         if self._header_bytes > MAX_HEAD_BYTES:
             self._exceed("answer head is too large")
 
@@ -74,7 +97,9 @@
     def release(self) -> None:
         """Return the reserved bytes; the body has been handed on or dropped."""
         self.budget.release(self._body_bytes)
-        self._body_bytes = 0
+        if self._head_cost:
+            self.heads.release(self._head_cost)
+        self._body_bytes = self._head_cost = 0
 
     def _exceed(self, violation: str) -> None:
         self.violation = violation
--- a/cactusshed/mesh/bodyparts.py
+++ b/cactusshed/mesh/bodyparts.py
@@ -12,6 +12,7 @@
 
 from ..errors import Malformed
 from ..policy.bodybudget import BodyBudget
+from ..policy.clientmemory import compute_head_cost, reserve_head
 from ..policy.uplink import BULK_BYTES
 from ..uplink.scheduler import PacedBody, UplinkScheduler
 from .frames import BodyPart, Call, Frame, Result
@@ -127,11 +128,19 @@
     body: bytearray = attrs.Factory(bytearray)
 
 
+def _compute_frame_cost(frame: Call | Result) -> int:
+    """Return the memory of the head of a frame whose body comes in parts."""
+    size = sum([len(name) + len(value) for name, value in frame.headers])
+    return compute_head_cost(len(frame.headers), size)
+
+
 @attrs.define(eq=False)
 class BodyAssembler:
     """Bodies that are being received in parts; they count against `budget`."""
 
     budget: BodyBudget
+    heads: BodyBudget | None = None
+    """Budget for the heads of their frames."""
     _incoming: dict[tuple[int, int], _Incoming] = attrs.Factory(dict)
     """By the identity of the link and the number of the frame."""
 
@@ -142,13 +151,18 @@
         """Expect the body of a frame; return False if there is no memory for it."""
         if not self.budget.reserve(frame.body_size):
             return False
+        if self.heads is not None and not reserve_head(
+            self.heads, _compute_frame_cost(frame)
+        ):
+            self.budget.release(frame.body_size)
+            return False
         self._incoming[id(link), frame.number] = _Incoming(frame)
         return True
 
     def add(self, link: object, part: BodyPart) -> Call | Result | None:
         """Add a part; return the frame if its body is complete.
 
-        The caller then releases `body_size` bytes once it no longer holds the body.
+        The caller then calls `release` once it no longer holds the frame.
         Raises `Malformed` if the parts exceed the announced size. Parts of frames that
         were refused or dropped are ignored.
         """
@@ -174,7 +188,13 @@
         """Drop a frame whose body is not complete, if there is one."""
         incoming = self._incoming.pop((id(link), number), None)
         if incoming is not None:
-            self.budget.release(incoming.frame.body_size)
+            self.release(incoming.frame)
+
+    def release(self, frame: Call | Result) -> None:
+        """Return what a frame has reserved."""
+        self.budget.release(frame.body_size)
+        if self.heads is not None:
+            self.heads.release(_compute_frame_cost(frame))
 
     def drop_link(self, link: object) -> None:
         """Drop the incomplete frames of a closed link."""
--- a/cactusshed/mesh/framing.py
+++ b/cactusshed/mesh/framing.py
@@ -1,6 +1,6 @@
 """Encoding of frames: MessagePack, each with its length in front."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -13,8 +13,9 @@
 MAX_FRAME_BYTES = 8 << 20
 """Covers the operator's rows. Large bodies come in parts; only a node of the build
 before sends them whole."""
-FREE_BUFFER_BYTES = 64 << 10
-"""Bytes of an unfinished frame that don't count against the budget."""
+FREE_BUFFER_BYTES = 4 << 10
+"""Bytes of an unfinished frame that don't count against the budget: most frames are
+shorter."""
 LENGTH_BYTES = 4
 """Size of the length prefix."""
 
@@ -31,11 +32,22 @@
 class FrameDecoder:
     """Decodes frames from a stream; large unfinished ones count in `budget`."""
 
-    def __init__(self, budget: BodyBudget | None = None) -> None:
-        """Start with an empty buffer."""
+    def __init__(
+        self,
+        budget: BodyBudget | None = None,
+        make_room: Callable[[BodyBudget, int], None] = lambda _budget, _size: None,
+    ) -> None:
+        """Start with an empty buffer.
+
+        `make_room` is called with the budget and the bytes for which it has no room.
+        """
         self._budget = budget or BodyBudget(MAX_FRAME_BYTES + FREE_BUFFER_BYTES)
+        self._make_room = make_room
         self._buffer = bytearray()
-        self._reserved = 0
+        self.reserved_bytes = 0
+        """Bytes of an unfinished frame that are charged to the budget."""
+        self.frame_bytes = 0
+        """Size of the frame that was decoded last."""
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yield the frames that `data` completes.
@@ -54,6 +66,7 @@
                 )
             if len(self._buffer) < body + length:
                 break
+            self.frame_bytes = length
             try:
                 yield _decoder.decode(memoryview(self._buffer)[body : body + length])
             except (ValueError, RecursionError) as error:
@@ -65,13 +78,16 @@
 
     def _reserve_buffer(self) -> None:
         needed = max(0, len(self._buffer) - FREE_BUFFER_BYTES)
-        if needed != self._reserved:
-            self.close()
+        if needed == self.reserved_bytes:
+            return
+        self.close()
+        if not self._budget.reserve(needed):
+            self._make_room(self._budget, needed)
             if not self._budget.reserve(needed):
                 raise Malformed("unfinished frames are too large", step="read frame")
-            self._reserved = needed
+        self.reserved_bytes = needed
 
     def close(self) -> None:
         """Return what is reserved for an unfinished frame."""
-        self._budget.release(self._reserved)
-        self._reserved = 0
+        self._budget.release(self.reserved_bytes)
+        self.reserved_bytes = 0
--- a/cactusshed/mesh/inbound.py
+++ b/cactusshed/mesh/inbound.py
@@ -7,8 +7,10 @@
 import attrs
 
 from ..clock import read_monotonic
+from ..connections.links import LinkHolders
 from ..observe.lines import log_line
 from ..policy.bodybudget import RETRY_SECONDS
+from ..policy.clientmemory import compute_head_cost, reserve_head
 from ..policy.plannedstop import PlannedStop
 from .bodyparts import BodyAssembler
 from .crashes import CrashTracker
@@ -56,6 +58,8 @@
     bodies: BodyAssembler
     """Calls whose bodies are being received."""
     stop: PlannedStop
+    holders: LinkHolders | None = None
+    """The links over which calls arrive."""
     moves: Moves | None = None
     relay: Relay | None = None
     usage: "UsageReporter | None" = None
@@ -73,10 +77,13 @@
             now = read_monotonic()
             if not self.stop.accepts_remote(now + frame.remaining_ms / 1000, now):
                 self._refuse(link, frame, "node-leaving")
+            elif self.holders is not None and not self.holders.may_take_calls():
+                self._refuse_for_memory(link, frame)
             elif frame.body_size and not frame.body:
-                self._start_body(link, frame)
+                if not self.bodies.start(link, frame):
+                    self._refuse_for_memory(link, frame)
             else:
-                self._start(link, frame)
+                self._start_whole(link, frame)
         elif isinstance(frame, BodyPart) and self.bodies.expects(link, frame.number):
             call = self.bodies.add(link, frame)
             if call is not None:
@@ -101,9 +108,18 @@
         else:
             self.handle_other(link, frame)
 
-    def _start_body(self, link: Link, call: Call) -> None:
-        if self.bodies.start(link, call):
+    def _start_whole(self, link: Link, call: Call) -> None:
+        """Start a call that has arrived in one frame, if there is memory for it."""
+        if self.holders is None:
+            self._start(link, call)
             return
+        cost = compute_head_cost(len(call.headers), link.frame_bytes)
+        if reserve_head(self.holders.budgets.calls, cost):
+            self._start(link, call, cost)
+        else:
+            self._refuse_for_memory(link, call)
+
+    def _refuse_for_memory(self, link: Link, call: Call) -> None:
         log_line("no-memory", request=call.request_id, bytes=call.body_size)
         self._refuse(link, call, "no-memory", RETRY_SECONDS)
 
@@ -120,16 +136,19 @@
         )
         link.send(result)
 
-    def _start(self, link: Link, call: Call) -> None:
+    def _start(self, link: Link, call: Call, cost: int = 0) -> None:
+        """Start a call; `cost` is what it has reserved, unless it came in parts."""
         task = asyncio.create_task(self._run(link, call))
         self._calls[id(link), call.number] = (call, task)
-        task.add_done_callback(lambda _task: self._end(link, call))
+        task.add_done_callback(lambda _task: self._end(link, call, cost))
 
-    def _end(self, link: Link, call: Call) -> None:
+    def _end(self, link: Link, call: Call, cost: int) -> None:
         # A task that is cancelled before its first step runs none of its own code.
         self._calls.pop((id(link), call.number), None)
-        if call.body_size:
-            self.bodies.budget.release(call.body_size)
+        if cost:
+            self.holders.budgets.calls.release(cost)
+        elif call.body_size:
+            self.bodies.release(call)
 
     async def _run(self, link: Link, call: Call) -> None:
         def report_silence() -> None:
@@ -144,6 +163,11 @@
             result = Result(
                 call.number, UNKNOWN, self.gate.get_load(), code="internal-error"
             )
+        if self.holders is not None and not self.holders.may_send(
+            link, len(result.body)
+        ):
+            log_line("no-memory", request=call.request_id, bytes=len(result.body))
+            result = Result(call.number, UNKNOWN, result.load, code="no-memory")
         link.send(result)
 
     async def _resolve_outcome(self, link: Link, query: OutcomeQuery) -> None:
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -9,15 +9,16 @@
 import socket
 from collections.abc import Callable
 
+from ..connections.links import LinkHolders
 from ..errors import CactusError, Malformed
 from ..observe.lines import log_line
 from ..options import Address
 from ..policy.bodybudget import BodyBudget
 from ..readbuffer import SharedBufferProtocol
-from ..sockets import enable_keepalive
+from ..sockets import enable_keepalive, open_server_socket
 from ..uplink.scheduler import UplinkScheduler
 from .bodyparts import PART_BYTES, PartSender, is_sent_in_parts
-from .frames import Cancel, Frame, Ping, Pong
+from .frames import Cancel, Frame, Hello, Ping, Pong
 from .framing import FrameDecoder, encode_frame
 
 __all__ = ["Link", "LinkLost", "NotSent", "dial_link", "serve_links"]
@@ -28,6 +29,10 @@
 the traffic between data centres."""
 MAX_UNREAD_BYTES = 256 << 10
 """Unsent bytes with which no ping is answered: 0.4 s of a link of 5 Mbit/s."""
+BACKLOG = 1024
+"""Links that the kernel accepts for the listener."""
+ACCEPTED_AT_ONCE = 8
+"""Links that are taken from the kernel before any of them can be closed."""
 DIAL_TIMEOUT_SECONDS = 1.0
 """Time to establish a link, which allows for one retransmitted SYN."""
 
@@ -60,15 +65,18 @@
         on_lost: Callable[["Link"], None],
         budget: BodyBudget | None = None,
         scheduler: UplinkScheduler | None = None,
+        holders: LinkHolders | None = None,
     ) -> None:
         """Call `handle` for every frame and `on_lost` when the connection ends.
 
-        Large unfinished frames count against `budget`; `scheduler` paces large answers.
+        Unfinished frames count against `budget`; `scheduler` paces large answers.
+        `holders` are the accepted links, `None` for a link that was dialled.
         """
         super().__init__()
         self._handle = handle
         self._on_lost = on_lost
-        self._frames = FrameDecoder(budget)
+        self._frames = FrameDecoder(budget, self._make_room)
+        self._holders = holders
         self._scheduler = scheduler
         self._parts = PartSender(self._write, scheduler)
         self._transport: asyncio.Transport | None = None
@@ -78,13 +86,40 @@
         self.takes_parts = False
         self.is_retired = False
         self.pinged_at = float("-inf")
-        self.last_received = self._loop.time()
+        self.last_received = self.unfinished_since = self._loop.time()
+        self.unread_bytes = 0
+        """Bytes to be sent, as charged to the output of accepted links."""
+        self.progressed_at = 0.0
+        """Loop time at which the other side last took some of them."""
+        self.holder_name = ""
+        """Name under which the holders know this link."""
+
+    @property
+    def is_unnamed(self) -> bool:
+        """Return whether the other node has not said its name."""
+        return not self.peer
+
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the bytes of an unfinished frame that are charged to the budget."""
+        return self._frames.reserved_bytes
+
+    @property
+    def frame_bytes(self) -> int:
+        """Return the size of the frame that is being handled."""
+        return self._frames.frame_bytes
+
+    def _make_room(self, budget: BodyBudget, size: int) -> None:
+        if self._holders is not None:
+            self._holders.make_room(self, budget, size)
 
     def connection_made(self, transport) -> None:
         """Store the transport and enable TCP keepalive."""
         self._transport = transport
         enable_keepalive(transport, KEEPALIVE_IDLE_SECONDS)
         _limit_unsent(transport)
+        if self._holders is not None:
+            self._holders.add(self)
 
     def pause_writing(self) -> None:
         """Send no further parts until the transport has sent what it holds."""
@@ -94,16 +129,21 @@
         """Resume after `pause_writing`."""
         self._parts.is_held = False
         self._parts.advance()
+        self.refresh_unread()
 
     def data_received(self, data: bytes) -> None:
         """Decode and handle the received frames."""
         self.last_received = self._loop.time()
+        if not self._frames.reserved_bytes:
+            self.unfinished_since = self.last_received
         try:
             for frame in self._frames.feed(data):
                 if isinstance(frame, Ping):
                     self._answer_ping()
                 elif not isinstance(frame, Pong):
                     self._handle(self, frame)
+                    if isinstance(frame, Hello) and self._holders is not None:
+                        self._holders.note_named(self)
         except Malformed as error:
             log_line("link-malformed", member=self.peer, cause=str(error))
             self.close()
@@ -121,6 +161,9 @@
             self.is_closed = True
             self._frames.close()
             self._parts.close()
+            if self._holders is not None:
+                self._holders.discard(self)
+                self._charge_unread(0)
             self._on_lost(self)
 
     def count_unsent_bytes(self) -> int:
@@ -135,12 +178,26 @@
             return False
         if self.takes_parts and is_sent_in_parts(frame):
             self._parts.send(frame)
-            return True
-        if isinstance(frame, Cancel):
-            self._parts.cancel(frame.number)
-        self._write(encode_frame(frame))
+        else:
+            if isinstance(frame, Cancel):
+                self._parts.cancel(frame.number)
+            self._write(encode_frame(frame))
+        if self.unread_bytes or self._transport.get_write_buffer_size():
+            self.refresh_unread()
         return True
 
+    def refresh_unread(self) -> None:
+        """Charge what the other side of an accepted link has not taken now."""
+        if self._holders is not None:
+            self._charge_unread(self.count_unsent_bytes())
+
+    def _charge_unread(self, unread: int) -> None:
+        before = self.unread_bytes
+        if unread < before or not before:
+            self.progressed_at = self._loop.time()
+        self.unread_bytes = unread
+        self._holders.budgets.output.used += unread - before
+
     def drop_answer(self, number: int) -> None:
         """Stop to send the large answer to a call that the other side has cancelled."""
         self._parts.drop_paced(number)
@@ -205,9 +262,16 @@
     on_lost: Callable[[Link], None],
     budget: BodyBudget | None = None,
     scheduler: UplinkScheduler | None = None,
+    holders: LinkHolders | None = None,
 ) -> asyncio.Server:
     """Accept links at `address`; raise `OSError` if it can't be bound."""
     loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        lambda: Link(handle, on_lost, budget, scheduler), address.ip, address.port
+    sock = open_server_socket(address.ip, address.port, BACKLOG)
+    server = await loop.create_server(
+        lambda: Link(handle, on_lost, budget, scheduler, holders),
+        sock=sock,
+        backlog=ACCEPTED_AT_ONCE,
     )
+    # asyncio has set the kernel's backlog to what it takes at once.
+    sock.listen(BACKLOG)
+    return server
--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -1,12 +1,12 @@
 """HTTP/1.1 listening sockets and the timeouts of their connections."""
 
 import asyncio
-import socket
 from collections.abc import Callable, Iterator
 
 from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
 from ..policy.clientmemory import ClientBudgets, make_caller_budgets
+from ..sockets import open_server_socket
 from .connection import Connection
 from .messages import Handler, Request
 from .table import Limits
@@ -46,7 +46,7 @@
 
         `on_refused` is called with the status of each refused request. Requests of
         one connection run at the same time if `is_safe` returns true for them.
-        `on_evicted` is called with the reason for each client that gives way to others.
+        `on_evicted` is called with the reason for each client that is evicted.
         """
         self.serve = serve
         self.limits = limits
@@ -62,10 +62,7 @@
 
     async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
-        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-        sock = socket.create_server((ip, port), family=family, backlog=backlog)
-        # asyncio sets this only on connections of sockets that it has opened itself.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = open_server_socket(ip, port, backlog)
         try:
             self._server = await self.loop.create_server(
                 lambda: Connection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -50,6 +50,7 @@
         counters: Counters,
         request_budget: BodyBudget,
         answer_budget: BodyBudget,
+        answer_heads: BodyBudget,
         scheduler: UplinkScheduler | None = None,
     ) -> None:
         """Start without members.
@@ -68,7 +69,9 @@
         self._counters = counters
         self._request_budget = request_budget
         self._scheduler = scheduler
-        self.pending = PendingCalls(answer_budget, self._replace_silent_link)
+        self.pending = PendingCalls(
+            answer_budget, self._replace_silent_link, answer_heads
+        )
         self._members_by_link: dict[Link, Member] = {}
         self._accepted: set[Link] = set()
         self._tasks: dict[str, asyncio.Task] = {}
--- a/cactusshed/mesh/pending.py
+++ b/cactusshed/mesh/pending.py
@@ -57,11 +57,15 @@
     """Pending calls by number, each with the future of its result."""
 
     def __init__(
-        self, budget: BodyBudget, replace_link: Callable[[Link], None]
+        self,
+        budget: BodyBudget,
+        replace_link: Callable[[Link], None],
+        heads: BodyBudget | None = None,
     ) -> None:
-        """Start without pending calls; `budget` limits results that arrive in parts.
+        """Start without pending calls.
 
-        `replace_link` is called with each link that is found to be silent.
+        `budget` and `heads` limit results that arrive in parts. `replace_link` is
+        called with each link that is found to be silent.
         """
         self._pending: dict[int, _PendingCall] = {}
         self._numbers = itertools.count(1)
@@ -70,7 +74,7 @@
         # For each link, when the oldest call that was given up since data last arrived
         # was sent.
         self._given_up: dict[Link, float] = {}
-        self._bodies = BodyAssembler(budget)
+        self._bodies = BodyAssembler(budget, heads)
 
     async def send(self, member: Member, frame: Call | OutcomeQuery) -> Result:
         """Send a call or an outcome query and return its result.
@@ -134,7 +138,7 @@
         if isinstance(frame, BodyPart):
             result = self._bodies.add(link, frame)
             if result is not None:
-                self._bodies.budget.release(result.body_size)
+                self._bodies.release(result)
                 self._complete(result)
         elif not frame.body_size or frame.body:
             self._complete(frame)
--- a/cactusshed/mesh/pool.py
+++ b/cactusshed/mesh/pool.py
@@ -31,11 +31,19 @@
     """Idle connections to one address, newest first."""
 
     def __init__(
-        self, address: Address, identity: bytes, budget: BodyBudget | None = None
+        self,
+        address: Address,
+        identity: bytes,
+        budget: BodyBudget | None = None,
+        heads: BodyBudget | None = None,
     ) -> None:
-        """Create an empty pool; `budget` limits the answers being received."""
+        """Create an empty pool.
+
+        `budget` and `heads` limit the answers being received; see `Upstream`.
+        """
         self.address = address
         self._budget = budget
+        self._heads = heads
         self.opened = 0
         self._identity = identity
         self._idle: deque[Upstream] = deque()
@@ -71,7 +79,9 @@
 
     async def _connect(self) -> Upstream:
         self.opened += 1
-        upstream = await open_upstream(self.address, self._identity, self._budget)
+        upstream = await open_upstream(
+            self.address, self._identity, self._budget, self._heads
+        )
         if not upstream.is_closed:
             self._open.add(upstream)
             upstream.on_closed = self._note_closed
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..clock import read_monotonic, read_wall
+from ..connections.links import LinkHolders
 from ..nodesettings import Settings
 from ..observe.counters import Counters
 from ..observe.histograms import Histograms
@@ -14,8 +15,18 @@
 from ..options import Address
 from ..platform import headers as header_names
 from ..platform.rows import RowStore
-from ..policy.bodybudget import compute_kept_answer_bytes, make_body_budgets
-from ..policy.clientmemory import make_caller_budgets, make_control_budgets
+from ..policy.bodybudget import (
+    compute_kept_answer_bytes,
+    make_body_budgets,
+    make_link_body_budget,
+)
+from ..policy.clientmemory import (
+    ClientBudgets,
+    make_answer_heads,
+    make_caller_budgets,
+    make_control_budgets,
+    make_link_budgets,
+)
 from ..policy.gateretries import GateRetryBudget
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
@@ -89,16 +100,24 @@
         self.request_budget, self.answer_budget = make_body_budgets(
             settings.memory_bytes
         )
+        self.link_body_budget = make_link_body_budget(
+            settings.memory_bytes, self.request_budget
+        )
+        self.answer_heads = make_answer_heads(settings.memory_bytes)
         self.descriptors = min(settings.max_descriptors, read_descriptor_limit())
         self.caller_budgets = make_caller_budgets(
             settings.memory_bytes, self.descriptors
         )
+        self.link_budgets = make_link_budgets(settings.memory_bytes, self.descriptors)
         uplink = make_uplink(settings.link_mbps)
         self.scheduler = None if uplink is None else UplinkScheduler(uplink)
         bounds = settings.bounds
         self.gate = Gate(
             pool=ConnectionPool(
-                settings.target, header_names.ATTEMPT_ID, self.answer_budget
+                settings.target,
+                header_names.ATTEMPT_ID,
+                self.answer_budget,
+                self.answer_heads,
             ),
             counters=self.counters,
             retry_budget=GateRetryBudget(
@@ -140,12 +159,14 @@
             lambda: self.relay.note_store_answer(),
             lambda: self.relay.note_store_failure(),
         )
+        self.link_holders = LinkHolders(self.link_budgets, self._count_evicted)
         self.inbound = Inbound(
             self.gate,
             self.crash_tracker,
             self._handle_frame,
-            BodyAssembler(self.request_budget),
+            BodyAssembler(self.link_body_budget, self.link_budgets.calls),
             self.planned_stop,
+            self.link_holders,
         )
         self.peers: Peers | None = None
         self.moves: Moves | None = None
@@ -249,8 +270,9 @@
             self._restore_state,
             lambda link: self.relay.send_heartbeat(link),
             self.counters,
-            self.request_budget,
+            self.link_body_budget,
             self.answer_budget,
+            self.answer_heads,
             self.scheduler,
         )
         self.relay = self.inbound.relay = Relay(
@@ -306,8 +328,9 @@
             settings.peers,
             self.inbound.handle,
             self._handle_accepted_lost,
-            self.request_budget,
+            self.link_body_budget,
             self.scheduler,
+            self.link_holders,
         )
         listeners = await self._open_listeners(self.caller_handler)
         tasks = [
@@ -381,7 +404,7 @@
                 self._get_limits,
                 self._count_refused,
                 on_evicted=self._count_evicted,
-                **{"budgets": make_control_budgets(self.descriptors), **options},
+                **{"budgets": self._make_control_budgets(), **options},
             )
             try:
                 await listener.open(address.ip, address.port)
@@ -395,6 +418,9 @@
             listeners.append(listener)
         return listeners
 
+    def _make_control_budgets(self) -> ClientBudgets:
+        return make_control_budgets(self.settings.memory_bytes, self.descriptors)
+
     def _get_limits(self):
         return (self.records.table or EMPTY_TABLE).limits
 
--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -83,15 +83,22 @@
 class Upstream(SharedBufferProtocol):
     """One connection; `identity` names the header in which answers echo the id."""
 
-    def __init__(self, identity: bytes = b"", budget: BodyBudget | None = None) -> None:
+    def __init__(
+        self,
+        identity: bytes = b"",
+        budget: BodyBudget | None = None,
+        heads: BodyBudget | None = None,
+    ) -> None:
         """Create a protocol that is not connected yet.
 
-        `budget` limits the bodies of all answers that are being received.
+        `budget` limits the bodies of all answers that are being received, `heads` their
+        long heads.
         """
         super().__init__()
         self._identity = identity
         self._budget = budget or BodyBudget(MAX_ANSWER_BYTES)
-        self._meter = AnswerMeter(self._budget)
+        self._heads = heads
+        self._meter = AnswerMeter(self._budget, heads)
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._waiter: asyncio.Future | None = None
@@ -253,7 +260,7 @@
         self._expected = expected
         self._is_head = is_head
         self._has_head = False
-        self._meter = AnswerMeter(self._budget)
+        self._meter = AnswerMeter(self._budget, self._heads)
         self._counted_bytes = self._chunk_count = 0
         self._reader.start_message()
         loop = asyncio.get_running_loop()
@@ -291,14 +298,17 @@
 
 
 async def open_upstream(
-    address: Address, identity: bytes = b"", budget: BodyBudget | None = None
+    address: Address,
+    identity: bytes = b"",
+    budget: BodyBudget | None = None,
+    heads: BodyBudget | None = None,
 ) -> Upstream:
     """Open a connection; raise `NotSent`."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             _, upstream = await loop.create_connection(
-                lambda: Upstream(identity, budget), address.ip, address.port
+                lambda: Upstream(identity, budget, heads), address.ip, address.port
             )
     except (OSError, TimeoutError) as error:
         cause = str(error) or "timed out"
--- a/cactusshed/policy/clientmemory.py
+++ b/cactusshed/policy/clientmemory.py
@@ -4,7 +4,7 @@
 end in sight: bodies and heads that stop just short of their end, long answers that are
 read slowly or never, and connections that stay silent. Ordinary callers use the same
 process. What is held is charged at what it costs in memory, and once a budget is spent,
-those give way that have made no progress for the longest time.
+the holders that have made no progress for the longest time are evicted.
 """
 
 import heapq
@@ -16,15 +16,22 @@
 from .bodybudget import BodyBudget
 
 __all__ = [
+    "MAX_LINKS_PER_NODE",
+    "ORDINARY_HEAD_BYTES",
     "STALLED_SECONDS",
     "ClientBudgets",
+    "LinkBudgets",
     "OutputBudget",
     "compute_head_cost",
     "count_evicted",
     "is_stalled",
+    "is_stuck",
     "list_oldest",
+    "make_answer_heads",
     "make_caller_budgets",
     "make_control_budgets",
+    "make_link_budgets",
+    "reserve_head",
 ]
 
 HolderType = TypeVar("HolderType")
@@ -47,21 +54,46 @@
 CALLER_DESCRIPTORS_FRACTION = 0.6
 """Fraction of the descriptors for callers. The others are for links, targets, the store
 and the other listeners."""
+CONTROL_CONNECTIONS_FRACTION = 0.005
+"""Fraction of the process's memory for the connections of each other listener."""
 CONTROL_DESCRIPTORS_FRACTION = 0.05
 """Fraction of the descriptors for each other listener."""
+LINK_CALLS_FRACTION = 0.04
+"""Fraction of the process's memory for the heads and small bodies of the calls of other
+nodes. Large bodies are in the budget of all bodies."""
+LINK_OUTPUT_FRACTION = 0.05
+"""Fraction of the process's memory for results that other nodes have not received."""
+ANSWER_HEADS_FRACTION = 0.02
+"""Fraction of the process's memory for long heads of answers being received."""
+LINK_DESCRIPTORS_FRACTION = 0.1
+"""Fraction of the descriptors for links whose nodes have not said their names. They do
+so in their first frame, so that even a hundred nodes that dial at once fit."""
+MAX_LINKS_PER_NODE = 4
+"""Links that another node may have open to this one: the one in use, and earlier ones
+that are silent or await results."""
+ORDINARY_HEAD_BYTES = 8 << 10
+"""Memory of a head up to which it may use the whole budget of its kind; longer ones may
+take half of it. A head of 20 lines of 60 characters takes 4.5 kB."""
 MIN_CONTROL_CONNECTIONS = 16
 MIN_HEADS_BYTES = 1 << 20
 """Memory for at least one head of 16,384 bytes in the shortest possible lines."""
+MIN_ANSWER_HEADS_BYTES = 6 << 20
+"""The same for one of 65,536 bytes, the largest of an answer, in half of the budget."""
 CONTROL_OUTPUT_BYTES = 2 << 20
 """Unread answers at another listener; a page of metrics has less than 100 kB."""
+SMALL_ANSWER_BYTES = 64 << 10
+"""Size of an answer that a node gets if it has read all earlier ones, whatever others
+have not read."""
 EVICTED_FRACTION = 1 / 16
 """Part of a limit that one eviction frees, so that its scan of all connections is paid
 for by many of them."""
 STALLED_SECONDS = 0.25
-"""Time without a byte of a partial request after which it gives way: several times the
+"""Time without a byte after which a partial request is evicted: several times the
 pauses within a request of an ordinary client."""
+STUCK_SECONDS = 1.0
+"""Time without progress after which the client of an unread answer is evicted."""
 SLOW_SECONDS = 1.0
-"""Age from which a partial request gives way whatever arrives of it: ten times that of
+"""Age from which a partial request is evicted whatever arrives of it: ten times that of
 a body of 64 KiB at 5 Mbit/s."""
 
 
@@ -70,6 +102,19 @@
     return LINE_COST_BYTES * line_count + size
 
 
+def reserve_head(budget: BodyBudget, cost: int, held: int = 0) -> bool:
+    """Reserve memory for a head; return False if there is none.
+
+    `held` is what was reserved for the head before. Long heads take no more than half
+    of the budget, so that a crowd of them leaves the other half to ordinary ones.
+    """
+    limit = budget.limit if held + cost <= ORDINARY_HEAD_BYTES else budget.limit // 2
+    if budget.used + cost > limit:
+        return False
+    budget.used += cost
+    return True
+
+
 def count_evicted(limit: int) -> int:
     """Return how much of a limit one eviction frees."""
     return max(1, int(limit * EVICTED_FRACTION))
@@ -94,7 +139,7 @@
     """Bytes of answers that clients have not received, and their limit.
 
     Answers are never refused: their requests have run. Once they exceed the limit, the
-    clients give way that have not read for the longest time.
+    clients are evicted that have not read for the longest time.
     """
 
     limit: int
@@ -107,9 +152,18 @@
 
     @property
     def is_exceeded(self) -> bool:
-        """Return whether clients that don't read must give way."""
+        """Return whether clients that don't read must be evicted."""
         return self.used > self.limit
 
+    def may_add(self, size: int, held: int) -> bool:
+        """Return whether an answer may wait for a node that has `held` bytes to read.
+
+        Beyond the limit, nodes that have read all of their answers get small ones.
+        """
+        if self.used + size <= self.limit:
+            return True
+        return not held and size <= SMALL_ANSWER_BYTES
+
     def choose_evicted(
         self,
         holders: Iterable[tuple[float, int, HolderType]],
@@ -145,9 +199,36 @@
     )
 
 
-def make_control_budgets(max_descriptors: int) -> ClientBudgets:
+@attrs.define(eq=False)
+class LinkBudgets:
+    """What the links that other nodes have opened may hold."""
+
+    calls: BodyBudget
+    """Heads and small bodies of calls."""
+    output: OutputBudget
+    max_unnamed: int
+    """Links whose nodes have not said their names."""
+
+
+def make_link_budgets(memory_bytes: int, max_descriptors: int) -> LinkBudgets:
+    """Return the budgets of links in a process with that memory."""
+    return LinkBudgets(
+        BodyBudget(max(2 * MIN_HEADS_BYTES, int(LINK_CALLS_FRACTION * memory_bytes))),
+        OutputBudget(int(LINK_OUTPUT_FRACTION * memory_bytes)),
+        max(MIN_CONTROL_CONNECTIONS, int(LINK_DESCRIPTORS_FRACTION * max_descriptors)),
+    )
+
+
+def make_answer_heads(memory_bytes: int) -> BodyBudget:
+    """Return the budget for long heads of answers in a process with that memory."""
+    limit = int(ANSWER_HEADS_FRACTION * memory_bytes)
+    return BodyBudget(max(MIN_ANSWER_HEADS_BYTES, limit))
+
+
+def make_control_budgets(memory_bytes: int, max_descriptors: int) -> ClientBudgets:
     """Return the budgets of a listener for announcements, probes or metrics."""
-    count = int(CONTROL_DESCRIPTORS_FRACTION * max_descriptors)
+    by_memory = int(CONTROL_CONNECTIONS_FRACTION * memory_bytes / CONNECTION_COST_BYTES)
+    count = min(by_memory, int(CONTROL_DESCRIPTORS_FRACTION * max_descriptors))
     return ClientBudgets(
         BodyBudget(MIN_HEADS_BYTES),
         OutputBudget(CONTROL_OUTPUT_BYTES),
@@ -156,5 +237,10 @@
 
 
 def is_stalled(now: float, started: float, last_received: float) -> bool:
-    """Return whether a partial request gives way to others."""
+    """Return whether a partial request may be evicted."""
     return now - last_received >= STALLED_SECONDS or now - started >= SLOW_SECONDS
+
+
+def is_stuck(now: float, progressed_at: float) -> bool:
+    """Return whether the client of an unread answer may be evicted."""
+    return now - progressed_at >= STUCK_SECONDS
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -13,6 +13,7 @@
     "count_unsent_bytes",
     "discard_unsent",
     "enable_keepalive",
+    "open_server_socket",
     "read_descriptor_limit",
 ]
 
@@ -25,6 +26,15 @@
 _INT_BYTES = 4
 
 
+def open_server_socket(ip: str, port: int, backlog: int) -> socket.socket:
+    """Return a listening socket; raise `OSError`."""
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    sock = socket.create_server((ip, port), family=family, backlog=backlog)
+    # asyncio sets this only on connections of sockets that it has opened itself.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 def count_unsent_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes written to `transport` that the peer has not acknowledged.
 
