serve/: bounds on bodies, heads, unread responses and connections together

Each connection was bounded alone: 1,000 of them with bodies of 8 MiB each, and silent ones without a limit, since uvicorn counts requests only.

All listeners of the process share budgets that follow from `memory-mb` of [node] (512 by default). Stalled partial requests are refused with 503 and Retry-After, clients that have not read for 1 s are closed, and beyond the limit of connections those that have never sent a whole request, then idle ones. Requests with one before them that is being served are never refused. Eight requests that wait behind one another are read, and what came with the last of them.

--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -7,6 +7,7 @@
 import grpc
 
 from .clock import read_monotonic, read_wall
+from .connections.served import ServedHolders
 from .drain import STOP_SECONDS, stop_listeners, wait_idle
 from .duty.closures import ClosureHandler
 from .duty.moves import MoveDuty
@@ -25,6 +26,11 @@
 from .operate.editor import Editor
 from .operate.report import Reporter
 from .policy.bans import Bans
+from .policy.productmemory import (
+    CALLER_DESCRIPTORS,
+    PEER_DESCRIPTORS,
+    make_product_budgets,
+)
 from .policy.quarantine import Quarantine
 from .serve.callers import CallerApp
 from .serve.crashes import CrashTracker
@@ -249,12 +255,18 @@
 
     def _open_listeners(self) -> list[Listener]:
         settings = self.settings
+        holders = ServedHolders(
+            make_product_budgets(settings.memory_bytes, settings.max_body),
+            lambda reason: self.counters.add(f"evicted_{reason}"),
+        )
         return [
             Listener(
                 self._caller_app,
                 settings.callers,
                 settings,
                 connections=settings.max_connections,
+                holders=holders,
+                descriptors=CALLER_DESCRIPTORS,
             ),
             Listener(
                 self._peer_app,
@@ -262,8 +274,10 @@
                 settings,
                 connections=settings.max_connections,
                 tls=True,
+                holders=holders,
+                descriptors=PEER_DESCRIPTORS,
             ),
-            Listener(self._operator_app, settings.operators, settings),
+            Listener(self._operator_app, settings.operators, settings, holders=holders),
         ]
 
     async def _start_control(self) -> grpc.aio.Server:
--- a/cactusshed/serve/listener.py
+++ b/cactusshed/serve/listener.py
@@ -1,171 +1,30 @@
 """HTTP listeners: uvicorn servers that share one process and handle no signals."""
 
 import contextlib
+import functools
 import logging
 import socket
 from collections.abc import Hashable, Iterator
 
 import anyio
-import httptools
 import uvicorn
-from uvicorn.protocols.http.flow_control import FlowControl
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ..connections.served import ServedHolders
 from ..options import Address
-from ..parseturns import PacedReader
-from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, get_framing_limit
-from ..readbuffer import SharedBufferProtocol
-from ..requestparser import RequestParser, has_unknown_coding
+from ..policy.productmemory import OPERATOR_DESCRIPTORS, make_product_budgets
 from ..settings import Settings
-from ..sockets import count_unread_bytes, count_unsent_bytes
-from .asgi import MAX_DISCARDED_BYTES
+from ..sockets import count_unsent_bytes
+from .protocol import Protocol
 
 __all__ = ["Listener", "open_socket"]
 
 BACKLOG = 1024
+ACCEPTED_AT_ONCE = 8
+"""Connections that are taken from the kernel before any of them can be closed."""
 KEEP_ALIVE_SECONDS = 30
 MAX_CONTROL_CONNECTIONS = 200
 
 
-class _Flow(FlowControl):
-    """Does not resume reading while received bytes are not parsed."""
-
-    def __init__(self, reader: PacedReader) -> None:
-        """Control the transport of `reader`."""
-        super().__init__(reader.transport)
-        self._reader = reader
-
-    def resume_reading(self) -> None:
-        """Resume reading, at once or after the last turn of the reader."""
-        self.read_paused = False
-        if not self._reader.is_waiting:
-            self._transport.resume_reading()
-
-
-class _Protocol(HttpToolsProtocol, SharedBufferProtocol):
-    """Ignores offers of another protocol; refuses a body in a coding besides chunks.
-
-    Heads and framing are bounded, and messages of many parts are parsed in turns.
-    """
-
-    def __init__(self, *args, **kwargs) -> None:
-        """Replace the parser of uvicorn's protocol."""
-        super().__init__(*args, **kwargs)
-        SharedBufferProtocol.__init__(self)
-        self.read_in_bulk(False)
-        self._reader = PacedReader(self._parse, lambda: not self.flow.read_paused)
-        self._in_body = False
-        self._received = 0
-        self._body_bytes = 0
-        self._chunk_count = 0
-        self._discarded = 0
-        self._trailer_bytes = 0
-        self._is_ending = False
-        self.parser = RequestParser(self._make_parser, lambda: (self.url, self.headers))
-
-    def _make_parser(self) -> httptools.HttpRequestParser:
-        parser = httptools.HttpRequestParser(self)
-        # As uvicorn does: data after the last request is no error of that request.
-        parser.set_dangerous_leniencies(lenient_data_after_close=True)
-        return parser
-
-    def connection_made(self, transport) -> None:
-        """Replace the flow control of uvicorn's protocol."""
-        super().connection_made(transport)
-        self._reader.transport = transport
-        self.flow = _Flow(self._reader)
-
-    def shutdown(self) -> None:
-        """Close the connection once its requests are served.
-
-        After a delay of the process, the first one may wait to be read.
-        """
-        is_idle = self.cycle is None or self.cycle.response_complete
-        if is_idle and count_unread_bytes(self.transport):
-            self._is_ending = True
-        else:
-            super().shutdown()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Drop what is not parsed."""
-        self._reader.stop()
-        super().connection_lost(error)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes within the limits."""
-        self._reader.receive(data)
-
-    def _parse(self, data: bytes) -> None:
-        self._received += len(data)
-        counted_bytes = self._body_bytes
-        super().data_received(data)
-        size = max(0, self._body_bytes - counted_bytes)
-        self._reader.credit.take(self._chunk_count, size)
-        self._chunk_count = 0
-        if self.transport.is_closing():
-            self._reader.stop()
-        elif not self._in_body and self._received > MAX_HEAD_BYTES:
-            self._refuse("Request head is too large.")
-        elif self._in_body and self.cycle.response_complete:
-            self._discarded += len(data)
-            if self._discarded > MAX_DISCARDED_BYTES:
-                self._reader.stop()
-                self.transport.close()
-        elif self._in_body:
-            framing_bytes = self._received - self._body_bytes - len(data)
-            if framing_bytes > MAX_HEAD_BYTES + get_framing_limit(self._body_bytes):
-                self._refuse("Request has too much framing.")
-
-    def _refuse(self, cause: str) -> None:
-        self._reader.stop()
-        self.send_400_response(cause)
-
-    def on_message_begin(self) -> None:
-        """Start to count the bytes of a request."""
-        super().on_message_begin()
-        self._reader.start_message()
-        self._in_body = False
-        self._body_bytes = self._chunk_count = 0
-        self._discarded = self._trailer_bytes = 0
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; drop a trailer."""
-        self._reader.credit.take(1)
-        if not self._in_body:
-            super().on_header(name, value)
-            return
-        self._trailer_bytes += len(name) + len(value) + LINE_BYTES
-        if self._trailer_bytes > MAX_HEAD_BYTES:
-            raise ValueError("trailers are too large")
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
-        self._chunk_count += 1
-        self._body_bytes += len(body)
-        super().on_body(body)
-
-    def on_headers_complete(self) -> None:
-        """Start the request, unless its head is parsed again."""
-        if self.parser.has_offer:
-            return
-        self._in_body = True
-        if has_unknown_coding(self.headers):
-            raise ValueError("transfer coding is not supported")
-        # A body of known length has no chunks that wait for turns.
-        self.read_in_bulk(any(n == b"content-length" for n, _ in self.headers))
-        super().on_headers_complete()
-        if self._is_ending:
-            self.cycle.keep_alive = False
-
-    def on_message_complete(self) -> None:
-        """End the request, unless it is parsed again."""
-        if not self.parser.has_offer:
-            self._in_body = False
-            self.read_in_bulk(False)
-            self._received = 0
-            super().on_message_complete()
-
-
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the process."""
 
@@ -173,6 +32,12 @@
         """Install no signal handlers."""
         return contextlib.nullcontext()
 
+    async def startup(self, sockets=None) -> None:
+        """Start to serve; asyncio has set the kernel's backlog to what it takes."""
+        await super().startup(sockets)
+        for sock in sockets or ():
+            sock.listen(BACKLOG)
+
 
 def open_socket(address: Address) -> socket.socket:
     """Return a listening socket at `address`."""
@@ -198,8 +63,17 @@
         *,
         connections: int = MAX_CONTROL_CONNECTIONS,
         tls: bool = False,
+        holders: ServedHolders | None = None,
+        descriptors: float = OPERATOR_DESCRIPTORS,
     ) -> None:
-        """Bind `address` for the ASGI `app`; use the TLS settings of peers if `tls`."""
+        """Bind `address` for the ASGI `app`; use the TLS settings of peers if `tls`.
+
+        `holders` are the connections of all listeners of the process, `descriptors` is
+        the fraction of the process's descriptors that this one may use.
+        """
+        holders = holders or ServedHolders(
+            make_product_budgets(settings.memory_bytes, settings.max_body)
+        )
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         self._socket = open_socket(address)
         tls_options = {}
@@ -212,7 +86,7 @@
             }
         config = uvicorn.Config(
             app,
-            http=_Protocol,
+            http=functools.partial(Protocol, holders, str(address), descriptors),
             loop="asyncio",
             ws="none",
             lifespan="off",
@@ -221,6 +95,7 @@
             log_config=None,
             proxy_headers=False,
             server_header=False,
+            backlog=ACCEPTED_AT_ONCE,
             date_header=False,
             limit_concurrency=connections,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
