--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+from .crowds import crowd_listener
 from .fleet import (
     APPLY_SECONDS,
     DRAIN_SECONDS,
@@ -189,5 +190,6 @@
     "add-route": _add_route,
     "evacuate": _evacuate,
     "odd-rows": _write_odd_rows,
+    "crowd": crowd_listener,
 }
 """Function that injects each fault, by name."""
