One pass over a request's head; bodies of known length are parsed at once

Each head was walked five times, and a body in slices of 8 KiB, which only messages of many parts need. One pass now finds all that is checked, and what is left of a body of known length is parsed in one go.

--- a/cactusshed/mesh/connection.py
+++ b/cactusshed/mesh/connection.py
@@ -10,7 +10,7 @@
 from ..parseturns import PacedReader
 from ..policy.bodybudget import RETRY_SECONDS
 from ..readbuffer import SharedBufferProtocol
-from ..requestparser import RequestParser, find_violation
+from ..requestparser import RequestParser, inspect_head
 from ..sockets import count_unread_bytes
 from .messages import Request, Response, make_response
 from .pipeline import Pipeline
@@ -72,6 +72,7 @@
         self._counted_bytes = 0
         self._chunk_count = 0
         self._in_body = False
+        self._length = self._reader.whole_bytes = 0
         self.read_in_bulk(False)
         self._refusal_status = 0
 
@@ -150,6 +151,8 @@
         try:
             self._parser.feed_data(data)
             self._count_body()
+            if self._length:
+                self._reader.whole_bytes = self._length - self._counted_bytes
             if self.request_started is not None:
                 self._meter.check(len(self._headers), in_body=self._in_body)
         except (TooManyBytes, httptools.HttpParserError):
@@ -181,17 +184,17 @@
         if self._parser.has_offer:
             return
         self._in_body = True
-        self._refusal_status = find_violation(self._headers)
-        if self._refusal_status:
-            raise ValueError(self._refusal_status)
-        self._meter.check_head(self._url, self._headers)
-        for name, value in self._headers:
-            if name == b"content-length":
-                self._meter.reserve(int(value))
-                self.read_in_bulk(True)
-        for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                self._send_continue()
+        status, size, length, expects = inspect_head(self._headers)
+        self._refusal_status = status
+        if status:
+            raise ValueError(status)
+        self._meter.check_head(len(self._headers), len(self._url) + size)
+        if length:
+            self._meter.reserve(length)
+            self.read_in_bulk(True)
+            self._length = length
+        if expects:
+            self._send_continue()
 
     def _send_continue(self) -> None:
         # Behind other requests it would precede their answers; the client then sends
--- a/cactusshed/mesh/requestmeter.py
+++ b/cactusshed/mesh/requestmeter.py
@@ -57,13 +57,15 @@
                 self._exceed(431)
             self._charge_head(compute_head_cost(line_count, self._head_bytes))
 
-    def check_head(self, url: bytes, headers: list[tuple[bytes, bytes]]) -> None:
-        """Raise `TooManyBytes` if a complete head is too large."""
-        size = len(url) + MIN_LINE_BYTES * len(headers)
-        size += sum([len(name) + len(value) for name, value in headers])
+    def check_head(self, line_count: int, size: int) -> None:
+        """Raise `TooManyBytes` if a complete head is too large.
+
+        `size` is that of its target, names and values.
+        """
+        size += MIN_LINE_BYTES * line_count
         if size > self.get_limits().header_bytes:
             self._exceed(431)
-        self._charge_head(compute_head_cost(len(headers), size))
+        self._charge_head(compute_head_cost(line_count, size))
 
     def _charge_head(self, cost: int) -> None:
         """Reserve what the head costs now; part of it may be reserved already."""
--- a/cactusshed/parseturns.py
+++ b/cactusshed/parseturns.py
@@ -62,6 +62,9 @@
     transport: asyncio.Transport | None = None
     credit: ParseCredit = attrs.Factory(ParseCredit)
     """Credit of the message that is being parsed."""
+    whole_bytes: int = 0
+    """Bytes that are the rest of a body of known length: they have no chunks, and are
+    parsed at once."""
     _data: bytes = b""
     _offset: int = 0
     is_waiting: bool = False
@@ -108,8 +111,9 @@
 
     def _parse_slice(self) -> None:
         start = self._offset
-        self._offset = start + SLICE_BYTES
-        if len(self._data) <= SLICE_BYTES:
+        size = max(SLICE_BYTES, self.whole_bytes)
+        self._offset = start + size
+        if not start and len(self._data) <= size:
             self.parse(self._data)
         else:
             self.parse(self._data[start : self._offset])
--- a/cactusshed/requestparser.py
+++ b/cactusshed/requestparser.py
@@ -8,12 +8,13 @@
 
 import httptools
 
-__all__ = ["RequestParser", "find_violation", "has_unknown_coding"]
+__all__ = ["RequestParser", "has_unknown_coding", "inspect_head"]
 
 Headers = Iterable[tuple[bytes, bytes]]
 """Names, in lower case, and values of headers."""
 _CONNECTION_OPTIONS = frozenset({b"close", b"keep-alive"})
 """Options of `connection` that name no header."""
+_INSPECTED = frozenset({b"host", b"content-length", b"expect", b"transfer-encoding"})
 
 
 def has_unknown_coding(headers: Headers) -> bool:
@@ -24,11 +25,27 @@
     )
 
 
-def find_violation(headers: Headers) -> int:
-    """Return the status that refuses a complete head, 0 if there is no reason to."""
-    if has_unknown_coding(headers):
-        return 501
-    return 400 if sum([name == b"host" for name, _ in headers]) > 1 else 0
+def inspect_head(headers: Headers) -> tuple[int, int, int, bool]:
+    """Return what a complete head says, in one pass.
+
+    That is the status that refuses it or 0, the size of names and values, the length of
+    the body or 0, and whether the client waits until the body may be sent.
+    """
+    size = hosts = length = status = 0
+    expects = False
+    for name, value in headers:
+        size += len(name) + len(value)
+        if name not in _INSPECTED:
+            continue
+        if name == b"host":
+            hosts += 1
+        elif name == b"content-length":
+            length = int(value)
+        elif name == b"expect":
+            expects = expects or value.lower() == b"100-continue"
+        elif value.strip().lower() != b"chunked":
+            status = 501
+    return status or (400 if hosts > 1 else 0), size, length, expects
 
 
 class RequestParser:
