Links that have ended keep no input; links without a name read little at a time

A closed link is part of a cycle of references, so that up to 128 KiB that were read from it stayed until the next full collection. A crowd that is refused at the inbound port and connects again filled the memory that way.

The input is dropped with the link, and up to the name of its node an accepted link reads 8 KiB at a time.

--- a/cactusshed/mesh/framing.py
+++ b/cactusshed/mesh/framing.py
@@ -87,6 +87,14 @@
                 raise Malformed("unfinished frames are too large", step="read frame")
         self.reserved_bytes = needed
 
+    def drop(self) -> None:
+        """Drop an unfinished frame of a link that has ended.
+
+        The link may be part of a cycle of references, so that it is freed late.
+        """
+        self.close()
+        self._buffer = bytearray()
+
     def close(self) -> None:
         """Return what is reserved for an unfinished frame."""
         self._budget.release(self.reserved_bytes)
--- a/cactusshed/mesh/link.py
+++ b/cactusshed/mesh/link.py
@@ -77,6 +77,9 @@
         self._on_lost = on_lost
         self._frames = FrameDecoder(budget, self._make_room)
         self._holders = holders
+        self._is_decoding = False
+        # Until its node has said its name, an accepted link reads little at a time.
+        self.read_in_bulk(holders is None)
         self._scheduler = scheduler
         self._parts = PartSender(self._write, scheduler)
         self._transport: asyncio.Transport | None = None
@@ -136,6 +139,7 @@
         self.last_received = self._loop.time()
         if not self._frames.reserved_bytes:
             self.unfinished_since = self.last_received
+        self._is_decoding = True
         try:
             for frame in self._frames.feed(data):
                 if isinstance(frame, Ping):
@@ -144,11 +148,13 @@
                     self._handle(self, frame)
                     if isinstance(frame, Hello) and self._holders is not None:
                         self._holders.note_named(self)
+                        self.read_in_bulk(True)
         except Malformed as error:
             log_line("link-malformed", member=self.peer, cause=str(error))
             self.close()
+        self._is_decoding = False
         if self.is_closed:
-            self._frames.close()
+            self._frames.drop()
 
     def _answer_ping(self) -> None:
         # The answers to pings without end would fill the memory.
@@ -159,7 +165,10 @@
         """Call `on_lost`, at most once."""
         if not self.is_closed:
             self.is_closed = True
-            self._frames.close()
+            if self._is_decoding:
+                self._frames.close()
+            else:
+                self._frames.drop()
             self._parts.close()
             if self._holders is not None:
                 self._holders.discard(self)
