--- a/cactusshed/policy/clientmemory.py
+++ b/cactusshed/policy/clientmemory.py
@@ -43,9 +43,10 @@
 """Memory of a connection: 11 kB of objects as measured, and one read of 8 KiB that may
 wait to be parsed."""
 CONNECTIONS_FRACTION = 0.15
-"""Fraction of the process's memory for the connections of callers. With the fractions
-below, those for bodies (policy/bodybudget.py) and 26 MB for an idle process, all
-budgets spent at once stay within 128 MB, the memory of a host without a setting."""
+"""Fraction of the process's memory for the connections of callers. With 128 MB, the memory
+of a host without a setting, this and those of heads, output and bodies
+(policy/bodybudget.py) add up to 107 MB with the 26 MB of an idle process. All others
+and the minima below, spent at the same time, would add 35 MB."""
 HEADS_FRACTION = 0.1
 """Fraction of the process's memory for the heads of requests that are being received or
 served."""
