--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -14,6 +14,7 @@
     "count_unsent_bytes",
     "discard_unsent",
     "enable_keepalive",
+    "open_server_socket",
     "read_descriptor_limit",
     "stop_listening",
 ]
@@ -32,6 +33,15 @@
 _INT_BYTES = 4
 
 
+def open_server_socket(ip: str, port: int, backlog: int) -> socket.socket:
+    """Return a listening socket; raise `OSError`."""
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    sock = socket.create_server((ip, port), family=family, backlog=backlog)
+    # asyncio sets this only on connections of sockets that it has opened itself.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 def stop_listening(
     loop: asyncio.AbstractEventLoop, listener: socket.socket
 ) -> list[socket.socket]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from .crowds import crowd_listener
 from .fleet import (
     APPLY_SECONDS,
     DRAIN_SECONDS,
@@ -241,5 +242,6 @@
     "holder-pause": _at_holder("pause"),
     "holder-store-cut": _at_holder("store-cut"),
     "holder-api-cut": _at_holder("api-cut"),
+    "crowd": crowd_listener,
 }
 """Function that injects each fault, by name."""
