--- a/cactusshed/policy/admissionqueue.py
+++ b/cactusshed/policy/admissionqueue.py
@@ -31,8 +31,8 @@
 still be on time."""
 ON_TIME_FACTOR = 2.0
 """Multiple of a route's mean service time that a request is expected to take at most;
-one in ten takes longer. A queue in overload is as long as admission allows, so that with
-the mean itself half of the requests that wait the longest were late."""
+one in ten takes longer. A queue in overload is as long as admission allows, so that
+with the mean itself half of the requests that wait the longest were late."""
 MIN_SERVICE_FRACTION = 0.5
 """Fraction of a route's mean service time that must be left to start a request."""
 MIN_RETRY_SECONDS = 0.02
--- a/tests/test_admissionqueue.py
+++ b/tests/test_admissionqueue.py
@@ -134,7 +134,8 @@
     first = make_ticket(0.0, may_wait=False)
     queue.offer(first, 0.0, StartLimits())
     for _ in range(15):
-        queue.offer(make_ticket(0.0), 0.0, StartLimits())
+        queue.offer(make_ticket(0.0, soft_timeout=0.5), 0.0, StartLimits())
+    assert_that(queue.waiting, Equals(15))
     second = make_ticket(0.0, may_wait=False)
     queue.offer(second, 0.0, StartLimits())
     assert_that(first.refusal.code, Equals("target-busy"))
