--- a/tests/test_frame_routing.py
+++ b/tests/test_frame_routing.py
@@ -37,6 +37,7 @@
         Counters(),
         BodyBudget(0),
         BodyBudget(0),
+        BodyBudget(0),
     )
     inbound = Inbound(
         None, None, peers.handle, BodyAssembler(BodyBudget(0)), PlannedStop()
--- a/tests/test_stop_readers.py
+++ b/tests/test_stop_readers.py
@@ -54,6 +54,7 @@
         Counters(),
         BodyBudget(0),
         BodyBudget(0),
+        BodyBudget(0),
     )
     peers._accepted.update(links)
     return peers
