--- a/cactusshed/mesh/listener.py
+++ b/cactusshed/mesh/listener.py
@@ -7,8 +7,9 @@
 from ..connections.holders import Holders
 from ..policy.bodybudget import BodyBudget
 from ..policy.clientmemory import ClientBudgets, make_caller_budgets
+from ..sockets import OPEN_TURNS, open_server_socket, stop_listening
 from .connection import Connection
-from .messages import Handler, Request
+from .messages import Handler, Request, Response
 from .table import Limits
 
 __all__ = ["Listener"]
@@ -41,17 +42,21 @@
         body_budget: BodyBudget | None = None,
         budgets: ClientBudgets | None = None,
         on_evicted: Callable[[str], None] = lambda _reason: None,
+        refuse_head: Callable[[Request], Response | None] = lambda _head: None,
     ) -> None:
         """Create a listener that is not open yet.
 
         `on_refused` is called with the status of each refused request. Requests of
         one connection run at the same time if `is_safe` returns true for them.
-        `on_evicted` is called with the reason for each client that gives way to others.
+        `on_evicted` is called with the reason for each client that is evicted.
+        `refuse_head` is called with each request that has a body, before the body; it
+        returns the response if there is one already.
         """
         self.serve = serve
         self.limits = limits
         self.on_refused = on_refused
         self.is_safe = is_safe
+        self.refuse_head = refuse_head
         self.body_budget = body_budget or BodyBudget(CONTROL_BODY_BYTES)
         self.loop = asyncio.get_running_loop()
         budgets = budgets or make_caller_budgets(DEFAULT_MEMORY, DEFAULT_DESCRIPTORS)
@@ -59,13 +64,12 @@
         self.connections: set[Connection] = self.holders.connections
         self.is_closing = False
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._closing: asyncio.Task | None = None
 
     async def open(self, ip: str, port: int, backlog: int = BACKLOG) -> None:
         """Start to listen; raise `OSError`."""
-        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-        sock = socket.create_server((ip, port), family=family, backlog=backlog)
-        # asyncio sets this only on connections of sockets that it has opened itself.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = open_server_socket(ip, port, backlog)
         try:
             self._server = await self.loop.create_server(
                 lambda: Connection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
@@ -75,6 +79,7 @@
             raise
         # asyncio has set the kernel's backlog to what it takes at once.
         sock.listen(backlog)
+        self._socket = sock
 
     async def sweep(self) -> None:
         """Time out slow requests and close idle connections until cancelled."""
@@ -108,8 +113,26 @@
         return ((c, c.count_unsent_bytes()) for c in self.connections)
 
     def stop(self) -> None:
-        """Stop accepting connections; open ones stay."""
-        if self._server is not None:
+        """Stop accepting connections; open ones stay.
+
+        Those that the kernel has accepted are open: their clients can't tell.
+        """
+        if self._server is not None and self._closing is None:
+            queued = stop_listening(self.loop, self._socket)
+            self._closing = self.loop.create_task(self._close(queued))
+
+    async def _close(self, queued: list[socket.socket]) -> None:
+        """Open the last connections, then close the server."""
+        opened = (
+            self.loop.connect_accepted_socket(lambda: Connection(self), sock)
+            for sock in queued
+        )
+        try:
+            # A connection that fails has no request.
+            await asyncio.gather(*opened, return_exceptions=True)
+            for _ in range(OPEN_TURNS):
+                await asyncio.sleep(0)
+        finally:
             self._server.close()
 
 
--- a/cactusshed/mesh/peers.py
+++ b/cactusshed/mesh/peers.py
@@ -25,8 +25,10 @@
 from .member import Member
 from .pending import PendingCalls
 
-__all__ = ["Peers"]
+__all__ = ["PeerFrame", "Peers"]
 
+PeerFrame = Result | BodyPart | Silence | Hello | StateUpdate
+"""Frames that `Peers.handle` handles itself."""
 MIN_REDIAL_SECONDS = 0.1
 MAX_REDIAL_SECONDS = 1.0
 """Longest pause between two dials, hence the time to find a restarted node."""
@@ -50,6 +52,7 @@
         counters: Counters,
         request_budget: BodyBudget,
         answer_budget: BodyBudget,
+        answer_heads: BodyBudget,
         scheduler: UplinkScheduler | None = None,
     ) -> None:
         """Start without members.
@@ -68,7 +71,9 @@
         self._counters = counters
         self._request_budget = request_budget
         self._scheduler = scheduler
-        self.pending = PendingCalls(answer_budget, self._replace_silent_link)
+        self.pending = PendingCalls(
+            answer_budget, self._replace_silent_link, answer_heads
+        )
         self._members_by_link: dict[Link, Member] = {}
         self._accepted: set[Link] = set()
         self._tasks: dict[str, asyncio.Task] = {}
@@ -270,6 +275,10 @@
         """Yield each link dialled by others, and its unsent bytes."""
         return ((link, link.count_unsent_bytes()) for link in self._accepted)
 
+    def list_waiting(self) -> Iterator[Link]:
+        """Yield each of these links whose answers wait for their turn."""
+        return (link for link in self._accepted if link.is_waiting)
+
     def list_accepted(self) -> list[Link]:
         """Return the links that other nodes dialled."""
         return list(self._accepted)
--- a/cactusshed/sockets.py
+++ b/cactusshed/sockets.py
@@ -9,11 +9,14 @@
 import termios
 
 __all__ = [
+    "OPEN_TURNS",
     "count_unread_bytes",
     "count_unsent_bytes",
     "discard_unsent",
     "enable_keepalive",
+    "open_server_socket",
     "read_descriptor_limit",
+    "stop_listening",
 ]
 
 KEEPALIVE_IDLE_SECONDS = 1
@@ -22,9 +25,52 @@
 """Unanswered probes, one second apart, after which a connection is dead."""
 USER_TIMEOUT_MS = 3000
 """Time for which sent bytes may stay unacknowledged: idle time plus probes."""
+MAX_QUEUED = 4096
+"""Connections taken from one accept queue; the backlogs are shorter."""
+OPEN_TURNS = 4
+"""Turns of the event loop after which asyncio has opened what it has accepted: one each
+for its task, its transport and its protocol, and one more."""
 _INT_BYTES = 4
 
 
+def open_server_socket(ip: str, port: int, backlog: int) -> socket.socket:
+    """Return a listening socket; raise `OSError`."""
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    sock = socket.create_server((ip, port), family=family, backlog=backlog)
+    # asyncio sets this only on connections of sockets that it has opened itself.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def stop_listening(
+    loop: asyncio.AbstractEventLoop, listener: socket.socket
+) -> list[socket.socket]:
+    """Refuse new connections to a socket of an asyncio server; return those queued.
+
+    The kernel resets the connections of the accept queue when the socket is closed,
+    although their clients may have sent whole requests. What is connected between the
+    last `accept` and `shutdown` is still reset.
+
+    The server must be closed `OPEN_TURNS` turns later: until then it has connections
+    that it has accepted and not opened, and drops them once it is closed.
+    """
+    loop.remove_reader(listener)
+    queued = []
+    # Without a bound, clients that connect without end would hold up the caller.
+    while len(queued) < MAX_QUEUED:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # The queue is empty, or there are no descriptors left.
+            break
+        connection.setblocking(False)
+        queued.append(connection)
+    listener.shutdown(socket.SHUT_RD)
+    return queued
+
+
 def count_unsent_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes written to `transport` that the peer has not acknowledged.
 
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -21,6 +21,9 @@
 """Time of fault injection in each soak."""
 
 
+HARMLESS = ("hup", "configure", "store-compact", "odd-rows", "keys", "add-route")
+
+
 @attrs.frozen
 class Mutation:
     """A guard, the source change that disables it and the soak that must detect it."""
@@ -171,6 +174,83 @@
         1,
         ("hup",),
     ),
+    Mutation(
+        "the counts of a window stay as they were fixed",
+        "usage/duty.py",
+        "fixed = {w: c for w, c in row",
+        "fixed = {w: self.totals.sum_window(w) for w, c in row",
+        "one-count",
+        1,
+        ("holder-api-cut",),
+    ),
+    Mutation(
+        "each holder has a token of its own",
+        "policy/leases.py",
+        "return token + 1",
+        "return token",
+        "token",
+        1,
+        ("holder-kill",),
+    ),
+    Mutation(
+        "a lease is not taken over before its end",
+        "policy/leases.py",
+        "return now >= end",
+        "return True",
+        "turns",
+        1,
+        ("api-busy",),
+    ),
+    Mutation(
+        "a node that has lost the duty sends no more reports",
+        "usage/duty.py",
+        "        self.lease = self.row = None",
+        "        self._retry_at = float('inf')\n        if self.lease is not None:\n"
+        "            self.lease = attrs.evolve(self.lease, valid_until=self._retry_at)",
+        "lease",
+        1,
+        # Fewer cuts among other faults: a holder has to fix a window before its cut.
+        ("holder-store-cut", "api-busy", *HARMLESS),
+    ),
+    Mutation(
+        "a node takes the duty over from another one",
+        "policy/usagelease.py",
+        "if now < self.next_try or",
+        "if self.seen_at is not None or",
+        "reported",
+        1,
+        ("holder-kill",),
+    ),
+    Mutation(
+        "a node's totals replace its earlier ones",
+        "policy/usagewindows.py",
+        "entry[window] = (sequence, counts)",
+        "old = entry.get(window, (0, {}))[1]\n                "
+        "entry[window] = (sequence, {t: n + old.get(t, 0) for t, n in counts.items()})",
+        "usage-off",
+        1,
+        ("hup",),
+    ),
+    Mutation(
+        "a key is looked up in the configuration in force",
+        "tenants/directory.py",
+        "        return self._by_digest.get(digest_key(key))",
+        "        known = globals().setdefault('KNOWN', {})\n"
+        "        known[key] = known.get(key) or self._by_digest.get(digest_key(key))\n"
+        "        return known[key]",
+        "removed-key",
+        1,
+        ("keys",),
+    ),
+    Mutation(
+        "the line of a refused request does not hold its key",
+        "mesh/callers.py",
+        "            cause=refusal.value,\n",
+        "            cause=request.find(header_names.CREDENTIAL) or b'',\n",
+        "secret",
+        1,
+        ("keys",),
+    ),
 )
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -44,7 +44,7 @@
         leaving, other = await fleet.start_connected("n1", "n2")
         for node in (leaving, other):
             node.target.work_seconds = WORK_SECONDS
-            node.sidecar.gate.queue.limit = 40
+            node.sidecar.gate.queue.slots = 40
         first = await fleet.start("n3", "b")
         await wait_for(first.is_reachable_and_ready)
         await wait_for(lambda: len(first.sidecar.peers.list_connected("a")) == 2)
@@ -108,14 +108,17 @@
             member = first.sidecar.peers.members[leaving.settings.node]
 
             def forget_stop():
-                member.is_leaving = False
+                member.note_leaving(is_leaving=False, accepts_ms=0)
 
             statuses = await send_until_ended(first, leaving, forget_stop)
-            return statuses, leaving.target.aborted
+            refused = leaving.sidecar.counters.get("gate_refused_node_leaving")
+            return statuses, leaving.target.aborted, refused
 
-    statuses, cut_off = run_async(work)
+    statuses, cut_off, refused = run_async(work)
     assert_that(len(statuses), GreaterThan(40))
     assert_that((set(statuses), cut_off), Equals(({200}, 0)))
+    # Without refusals the node has received no call that it could not finish.
+    assert_that(refused, GreaterThan(10))
 
 
 ANSWER_BYTES = 8_000_000
@@ -290,6 +293,83 @@
     assert_that(answer, Contains(b"connection: close"))
 
 
+@pytest.mark.parametrize("turns", range(6))
+def test_request_that_the_product_listener_has_not_accepted_is_answered(turns):
+    """The kernel reset connections that it had accepted and the process had not.
+
+    They are in the queue of the listening socket, which it drops on close. In the turns
+    of the event loop that follow, asyncio accepts them, and dropped those for which it
+    had no transport when the listener closed.
+    """
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        loop = asyncio.get_running_loop()
+        await wait_for(lambda: listener._server.started)
+        closing = listener._server.shutdown
+
+        async def send_and_close(sockets):
+            client.connect((address.ip, address.port))
+            client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await closing(sockets)
+
+        listener._server.shutdown = send_and_close
+        with socket.socket() as client:
+            listener.stop()
+            await running
+            client.setblocking(False)
+            answer = b""
+            while part := await loop.sock_recv(client, 1000):
+                answer += part
+        return answer
+
+    answer = run_async(work)
+    assert_that(answer, StartsWith(b"HTTP/1.1 200 "))
+    assert_that(answer, Contains(b"connection: close"))
+
+
+def test_request_that_arrives_in_a_pause_of_the_product_node_is_answered():
+    """A process was stopped and continued once its time to close listeners was over.
+
+    It ended at once, with a request that it had not read.
+    """
+
+    async def serve(_scope, _receive, send):
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"done"})
+
+    async def work():
+        address = Address("127.0.0.1", choose_port())
+        listener = Listener(serve, address, parse_settings(GOOD))
+        running = asyncio.create_task(listener.run())
+        await wait_for(lambda: listener._server.started)
+        stopping = asyncio.create_task(stop_listeners([listener], 0.0))
+        await asyncio.sleep(0)
+        with socket.create_connection((address.ip, address.port)) as client:
+            client.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            time.sleep(STOP_LISTENERS_SECONDS + 0.1)
+            await stopping
+            # The process would end now.
+            client.setblocking(False)
+            try:
+                answer = client.recv(1000)
+            except OSError:
+                # Reset, or nothing received.
+                answer = b""
+        await running
+        return answer
+
+    assert_that(run_async(work), StartsWith(b"HTTP/1.1 200 "))
+
+
 def test_calls_that_arrived_while_the_node_was_held_up_are_awaited():
     """The product's node closed its listeners before it had read them.
 
