Trials of full targets are off unless limits.learned says trials

They halve the limit of a target that is always full, for up to four seconds, in the peak in which its slots are needed.

--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -137,6 +137,7 @@
         concurrency = self.gate.exchange.concurrency
         concurrency.lowest, concurrency.highest = learned.lowest, learned.highest
         concurrency.is_enabled = learned.is_enabled
+        concurrency.tries_full = learned.tries_full
         self.gate.outcomes.limit_answers(
             compute_kept_answer_bytes(settings.memory_bytes)
         )
--- a/cactusshed/policy/concurrency.py
+++ b/cactusshed/policy/concurrency.py
@@ -13,9 +13,10 @@
 A target that waits for something else is slow, too, and more of its requests run
 because it is slow. So each lower limit is a trial: it remains only if the times fall
 with it. Otherwise the unslowed time has changed, and the limit returns. A target that
-is always full gets such a trial without a suspicion, when its unslowed time is not
-known and once in a while. A higher limit is tried when times at the limit are
-near the unslowed time, and step by step when the limit is no longer reached.
+is always full gets such a trial without a suspicion if that is switched on: when its
+unslowed time is not known, and once in a while. A higher limit is tried when times at
+the limit are near the unslowed time, and step by step when the limit is no longer
+reached.
 """
 
 import math
@@ -75,6 +76,8 @@
     """Highest limit; `None` for the stated slots."""
     is_enabled: bool = True
     """Whether the limit is learned."""
+    tries_full: bool = True
+    """Whether a target that is always full gets a trial without a suspicion."""
     changed_at: float = float("-inf")
     """Time of the last change of the limit, trials included."""
     settled: int = 0
@@ -145,7 +148,8 @@
             self.times.follow_faster_times()
         is_full = self.times.fullness.value >= MIN_FULLNESS
         is_known = is_full and self.times.steady.count >= MIN_FIRST_ANSWERS
-        if is_known and may_try and now >= self._trial_due:
+        is_due = self.tries_full and now >= self._trial_due
+        if is_known and may_try and is_due:
             self._try_lower(self._get_trial_limit(), now, is_suspected=False)
         else:
             self._raise(now)
@@ -296,4 +300,4 @@
 
     def reset(self) -> None:
         """Forget everything, because the target is another process."""
-        self.__init__(self.lowest, self.highest, self.is_enabled)
+        self.__init__(self.lowest, self.highest, self.is_enabled, self.tries_full)
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -144,15 +144,16 @@
     [
         ("on", LearnedLimits()),
         ("off", LearnedLimits(is_enabled=False)),
-        ("2-5", LearnedLimits(True, 2, 5)),
-        ("3-3", LearnedLimits(True, 3, 3)),
-        ("2-", LearnedLimits(True, 2, None)),
-        ("-5", LearnedLimits(True, 1, 5)),
-        (None, LearnedLimits(True, 1, None)),
+        ("trials", LearnedLimits(tries_full=True)),
+        ("2-5", LearnedLimits(lowest=2, highest=5)),
+        ("3-3", LearnedLimits(lowest=3, highest=3)),
+        ("2-", LearnedLimits(lowest=2)),
+        ("-5", LearnedLimits(highest=5)),
+        (None, LearnedLimits()),
     ],
 )
 def test_learned_limits_are_read(load, text, expected):
-    """Learning must be on, without bounds beyond the slots, unless it is said."""
+    """Learning must be on, without trials or bounds, unless it is said."""
     settings = load(set_field(make_settings(), "limits.learned", text))
     assert_that(settings.learned, Equals(expected))
 
--- a/tests/test_learned_limits.py
+++ b/tests/test_learned_limits.py
@@ -163,6 +163,20 @@
     assert_that(min(limits), GreaterThan(min(lowest, 8) - 1))
 
 
+def test_full_target_keeps_its_slots_without_trials(rng):
+    """Trials at targets that were full and not slow cost a tenth of a peak's answers.
+
+    Their slots were right; half of them were unused for seconds.
+    """
+    limits = {}
+    for tries_full in (True, False):
+        limit = ConcurrencyLimit(tries_full=tries_full)
+        steps = simulate(limit, rng, 30.0, lambda _: 10 * SLOTS, lambda *_: 1.0)
+        limits[tries_full] = min(value for _, value in steps)
+    assert_that(limits[True], LessThan(SLOTS))
+    assert_that(limits[False], Equals(SLOTS))
+
+
 def test_learning_can_be_switched_off(rng):
     """Switched off, a target that slows down early gets its slots all the same."""
     limit = ConcurrencyLimit(is_enabled=False)
