The soak's test of an interrupt does not depend on its shell

A shell without job control starts background processes with SIGINT ignored, and they pass this on: three whole suites that ran in the background failed with a soak that had not ended 10 s after SIGINT, while the test passed in the foreground. Started that way, the test alone fails, too, and passes with the signal restored.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,15 @@
     assert_that(plan(7) == plan(8), Equals(False))
 
 
+def restore_interrupts():
+    """Let SIGINT end a new process, also where this one was started to ignore it.
+
+    A shell without job control starts its background processes so, and they pass it on:
+    the soak of a suite in the background did not end.
+    """
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_broken_off_run_leaves_no_process(tmp_path, number):
     """The nodes end with the soak, also while it still starts them."""
@@ -73,6 +82,7 @@
         [*command, "--logs", tmp_path],
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
+        preexec_fn=restore_interrupts,
     )
     try:
         children = []
