Log lines and metrics that tell a returned store, an older read and a late follower apart

Callers reported changes that were acknowledged and not in force. Three causes would have left the same trace: a read or row of the store that was ignored as older was neither logged nor counted, the store's era was not read, and configuration-applied did not say whether the store or another node had brought it. No logic changes.

--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -69,6 +69,7 @@
     def apply_changes(self, rows: Iterable[StoredRow], revision: int) -> None:
         """Apply the rows that changed up to `revision`."""
         if revision < self.revision:
+            self._note_older_read(revision)
             return
         changed = [row for row in rows if self._store_row(row)]
         self.revision = revision
@@ -81,10 +82,15 @@
     def replace_all(self, rows: Iterable[StoredRow], revision: int) -> None:
         """Replace all rows by the operator's rows as of `revision`."""
         if revision < self.revision:
+            self._note_older_read(revision)
             return
         rows = list(rows)
         self.apply_changes([*rows, *self._find_removed_rows(rows, revision)], revision)
 
+    def _note_older_read(self, revision: int) -> None:
+        self.counters.add("store_reads_older")
+        log_line("store-read-older", revision=self.revision, read=revision)
+
     def _find_removed_rows(
         self, rows: list[StoredRow], revision: int
     ) -> Iterator[StoredRow]:
@@ -98,6 +104,11 @@
     def _store_row(self, row: StoredRow) -> bool:
         previous = self.rows.get(row.key)
         if previous is not None and previous.version >= row.version:
+            if previous.version > row.version:
+                self.counters.add("rows_older")
+                log_line(
+                    "row-older", key=row.key, known=previous.version, row=row.version
+                )
             return False
         stored = attrs.evolve(row, value=b"") if row.key == CONFIG_KEY else row
         self.rows[row.key] = stored
@@ -116,7 +127,7 @@
 
     def _apply_row(self, row: StoredRow) -> None:
         if row.key == CONFIG_KEY and not row.is_deleted:
-            self._apply_table(decode_table(row.value))
+            self._apply_table(decode_table(row.value), row.version)
         elif row.key.startswith(EVACUATION_PREFIX):
             self._apply_evacuation(row)
         elif row.key.startswith(MOVE_PREFIX):
@@ -127,7 +138,11 @@
                 self.orders[service] = StoredOrder(decode_move(row.value), row.version)
             log_line("move-order", service=service, gone=row.is_deleted)
 
-    def _apply_table(self, table: Table) -> None:
+    def _apply_table(self, table: Table, row_version: int | None = None) -> None:
+        """Make `table` the configuration unless it is older.
+
+        `row_version` is the version of its row, `None` if it came from another node.
+        """
         if table.version <= self.table.version:
             return
         keys = find_changed_routes(self.table, table)
@@ -136,6 +151,7 @@
             "configuration-applied",
             version=table.version,
             before=self.table.version,
+            row=row_version,
             routes=sum(map(len, table.routes.values())),
             changed=len(keys),
             tenants_changed=len(tenants),
--- a/cactusshed/mesh/relay.py
+++ b/cactusshed/mesh/relay.py
@@ -202,5 +202,10 @@
         if is_waiting or not member.is_up or not self._is_behind(member):
             return
         self._pull_sent_at = now
-        log_line("pulled", member=member.node, changed=member.last_change)
+        log_line(
+            "pulled",
+            member=member.node,
+            changed=member.last_change,
+            known=self.records.last_change,
+        )
         member.link.send(PullRequest(self.records.table.version))
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -15,10 +15,12 @@
     "NOT_RUN",
     "RATE_LIMIT",
     "SEAL",
+    "STORE_ERA",
     "TENANT",
     "read_host_pace",
     "read_milliseconds",
     "read_rate_limit",
+    "read_store_era",
 ]
 
 ATTEMPT_ID = b"x-attempt-id"
@@ -49,6 +51,8 @@
 no limit."""
 LEAVING = b"server-leaving"
 """`1` in every answer of a target that is leaving."""
+STORE_ERA = b"store-era"
+"""Number that the store raises each time it comes back from an older copy."""
 
 MAX_TIME_DIGITS = 9
 """Digits of the longest time in milliseconds that is taken: eleven days."""
@@ -77,3 +81,10 @@
     if not percent.isdigit() or len(percent) > MAX_TIME_DIGITS:
         return None
     return int(percent) / 100
+
+
+def read_store_era(text: bytes | None) -> int | None:
+    """Parse the number of an era of the store; `None` if absent or malformed."""
+    if not text or not text.isdigit() or len(text) > MAX_TIME_DIGITS:
+        return None
+    return int(text)
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -18,8 +18,10 @@
 from ..fields import read_int, read_list
 from ..mesh.upstream import Answer
 from ..observe.counters import Counters
+from ..observe.lines import log_line
 from ..options import Address
 from ..store.httpcalls import HttpCalls
+from .headers import STORE_ERA, read_store_era
 from .storedrows import StoredRow, find_last_key, read_rows
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
@@ -71,6 +73,8 @@
         self._calls = HttpCalls("store", address, counters)
         self._counters = counters
         self._timeout = CALL_TIMEOUT_SECONDS if timeout is None else timeout
+        self.era: int | None = None
+        """Highest era that the store has stated; `None` if it states none."""
 
     async def read_table(self, table: str, prefix: str = "") -> Page:
         """Return the rows of `table` whose keys start with `prefix`."""
@@ -157,6 +161,7 @@
         self._counters.add("store_writes")
         data = msgspec.json.encode(body)
         answer = await self._calls.call(b"POST", PATH + "rows-tx", data, self._timeout)
+        self._note_era(answer)
         if answer.status == 412:
             raise ConditionFailed("a row is at another version", step="write rows")
         fields = _decode(answer, "write rows")
@@ -190,7 +195,9 @@
             answer = await self._calls.call(b"GET", PATH + target, b"", timeout)
         except AnswerLost as error:
             raise PlatformUnavailable(error.message, step=error.step) from error
+        self._note_era(answer)
         if answer.status == 410:
+            self._counters.add("store_history_gone")
             raise HistoryGone("the store no longer has the history", step="follow rows")
         fields = _decode(answer, "read rows")
         entries = read_list(fields, "rows")
@@ -198,6 +205,15 @@
         last_key = find_last_key(entries) if fields.get("has_more") else ""
         return rows, last_key, read_int(fields, "ver")
 
+    def _note_era(self, answer: Answer) -> None:
+        era = read_store_era(answer.find(STORE_ERA))
+        if era is None or (self.era is not None and era <= self.era):
+            return
+        if self.era is not None:
+            self._counters.add("store_returns")
+            log_line("store-era", era=era, before=self.era)
+        self.era = era
+
     def set_address(self, address: Address) -> None:
         """Use the store at another address from now on."""
         self._calls.set_address(address)
