Reads of the store that are behind are repeated with pauses

Callers saw changes late, and the store's limit of calls, which all nodes share, was used up. A reader whose feed got 410 read the whole table without a pause, and took a read that was older than what it knew for success. Now an older read is reported as such and repeated after 0.2 s, and so is one whose version the feed refuses.

--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -66,11 +66,14 @@
     )
     """Earlier versions, with the routes and tenants that the next version changed."""
 
-    def apply_changes(self, rows: Iterable[StoredRow], revision: int) -> None:
-        """Apply the rows that changed up to `revision`."""
+    def apply_changes(self, rows: Iterable[StoredRow], revision: int) -> bool:
+        """Apply the rows that changed up to `revision`.
+
+        Returns false, and changes nothing, if more is known already.
+        """
         if revision < self.revision:
             self._note_older_read(revision)
-            return
+            return False
         changed = [row for row in rows if self._store_row(row)]
         self.revision = revision
         if changed:
@@ -78,14 +81,16 @@
             self.last_change = max(self.last_change, *(row.version for row in changed))
             self._apply(changed)
             self.publish(base)
+        return True
 
-    def replace_all(self, rows: Iterable[StoredRow], revision: int) -> None:
-        """Replace all rows by the operator's rows as of `revision`."""
-        if revision < self.revision:
-            self._note_older_read(revision)
-            return
+    def replace_all(self, rows: Iterable[StoredRow], revision: int) -> bool:
+        """Replace all rows by the operator's rows as of `revision`.
+
+        Returns false, and changes nothing, if more is known already.
+        """
         rows = list(rows)
-        self.apply_changes([*rows, *self._find_removed_rows(rows, revision)], revision)
+        removed = self._find_removed_rows(rows, revision)
+        return self.apply_changes([*rows, *removed], revision)
 
     def _note_older_read(self, revision: int) -> None:
         self.counters.add("store_reads_older")
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -25,6 +25,9 @@
 the time in which users require a change to take effect."""
 DISCOVERY_SECONDS = 0.15
 """Time for a starting node to find other nodes: some calls to the store."""
+OLDER_READ_PAUSE_SECONDS = 0.2
+"""Pause after a read of the whole table that was older than what is known, or than the
+changes that the store still has. Reads may be some seconds behind."""
 READER_CHECK_SECONDS = 0.1
 """Interval at which a follower checks whether it must read the store itself."""
 FIRST_UPDATE_SECONDS = 0.6
@@ -85,6 +88,8 @@
     _feed_seconds: float = 0.0
     """Long-poll time of the next feed call. The first call of a reader is answered at
     once, which shows the other nodes that it reads."""
+    _has_followed: bool = False
+    """Whether the feed has answered since all rows were last read."""
     _waiting_since: float | None = None
     """Start of the wait for the first update from the reader."""
     _row_version: int | None = None
@@ -120,6 +125,8 @@
             except HistoryGone:
                 log_line("history-gone", revision=self.records.revision)
                 is_full = True
+                if not self._has_followed:
+                    await asyncio.sleep(OLDER_READ_PAUSE_SECONDS)
             except CactusError as error:
                 self.note_store_failure()
                 self._note_reachable(False, str(error))
@@ -133,20 +140,31 @@
             await asyncio.sleep(READER_CHECK_SECONDS)
             return True
         if is_full:
-            page = await self.store.read_table(OPERATOR_TABLE)
-            self.note_store_answer()
-            self.records.replace_all(page.rows, page.version)
-            self.has_read_store.set()
-            return False
+            if await self._read_all_rows():
+                return False
+            await asyncio.sleep(OLDER_READ_PAUSE_SECONDS)
+            return True
         after = self.records.revision
         page = await self.store.wait_for_changes(
             OPERATOR_TABLE, after, self._feed_seconds
         )
         self._feed_seconds = FEED_SECONDS
+        self._has_followed = True
         self.note_store_answer()
         self.records.apply_changes(page.rows, page.version)
         return False
 
+    async def _read_all_rows(self) -> bool:
+        """Read all rows; return false if they are older than what is known.
+
+        The feed can't go on then: it may have passed changes of which it did not tell.
+        """
+        self._has_followed = False
+        page = await self.store.read_table(OPERATOR_TABLE)
+        self.note_store_answer()
+        self.has_read_store.set()
+        return self.records.replace_all(page.rows, page.version)
+
     def _has_waited_for_reader(self) -> bool:
         """Return whether the reader's time for sending a first update is over."""
         if self._waiting_since is None:
