Versions of the store include its era; what was written again after a return is in force

Callers were served by an older configuration although a newer one had been acknowledged, got 404 on a route that had been added, or reached an evacuated data centre.

Cause: rows, feed positions, updates between nodes and expected versions were compared as numbers of one counter. When the store came back from an older copy, the counter went back: what was written then had lower numbers than what nodes knew and was ignored, the feed went on after the former number and left out what lay below it, and a write could match a number that had been given out again.

Change: a version is the era that the store states (Store-Era) and the number, one whole number in every message, so that all comparisons hold as they are; without a stated era it is the number. A feed or an expected version of an earlier era is not used. The first write of a node in an era marks the era with a row, and each write requires that the next era has no mark, so that a late write from before a return fails. Rows that are missing after a return stay in force for a second, in which the operator writes them again; then the reader marks the era and reads again, and its update replaces the rows of all nodes. An order that is written again keeps its move.

--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -201,8 +201,8 @@
 class ReaderHeartbeat(msgspec.Struct, array_like=True, tag=7):
     """Reports how recent the sender's copy of the operator's rows is.
 
-    `last_change` is the store's counter at the last known change, `version` the
-    version of the configuration.
+    `last_change` is the version of the last known change in the store, `version` that
+    of the configuration.
     """
 
     last_change: int
@@ -237,7 +237,7 @@
     """The sender's copy of the operator's rows."""
 
     revision: int
-    """The store's counter up to which the sender has read."""
+    """Version up to which the sender has read the store."""
     last_change: int
     rows: list[tuple[str, bytes, int]]
     """Key, value and version of each row except the configuration."""
--- a/cactusshed/mesh/member.py
+++ b/cactusshed/mesh/member.py
@@ -30,7 +30,7 @@
     remembered: TargetState = attrs.Factory(TargetState)
     """Last state that named a target; sent back to the node after it has restarted."""
     last_change: int = 0
-    """The store's counter at the last change that the node knows of."""
+    """Version of the last change in the store that the node knows of."""
     version: int = 0
     """Version of the node's configuration."""
     link_mbps: float = 0.0
--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -61,14 +61,20 @@
             self.moves.apply_to_gate()
             now = read_monotonic()
             for service, order in list(self.records.orders.items()):
-                if self._orders_seen.get(service, (0, 0.0))[0] != order.version:
-                    self._orders_seen[service] = (order.version, now)
+                self._note_order(service, order, now)
                 try:
                     await self._process_order(service, order)
                 except CactusError as error:
                     log_line("move-step-failed", service=service, cause=str(error))
             self.moves.report()
 
+    def _note_order(self, service: str, order: StoredOrder, now: float) -> None:
+        """Record when an order was first seen, in whatever era of the store."""
+        version, seen_at = self._orders_seen.get(service, (ABSENT, now))
+        if version != order.version:
+            is_same = self.moves.renumber(service, order)
+            self._orders_seen[service] = (order.version, seen_at if is_same else now)
+
     def _get_node_rank(self) -> int:
         """Return the number of live nodes whose names sort before this one's."""
         names = [m.node for m in self.peers.members.values() if m.is_up]
@@ -107,7 +113,9 @@
         """Return the row's version, and whether another node has advanced the move."""
         version, stored = await read_move(self.store, service)
         is_newer = stored is not None and self.moves.merge_move(stored, version)
-        return version, is_newer and stored.order >= order.version
+        self.moves.renumber(service, order)
+        tracked = self.moves.tracked.get(service)
+        return version, is_newer and tracked.move.order >= order.version
 
     async def _take_over(self, service: str, order: StoredOrder) -> None:
         """Read the row, then start or continue the move as its holder."""
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -13,6 +13,7 @@
 from ..platform.rows import ABSENT
 from ..policy.errorevidence import ErrorEvidence
 from ..policy.rollout import CLOSING, COMPLETE, REVERTED, Move, choose_version
+from ..store.versions import get_era
 from .frames import MoveUpdate, TargetState, VersionTallies
 from .gate import Gate
 from .peers import Peers
@@ -111,6 +112,23 @@
             return ""
         return tracked.move.source if version == tracked.move.to else ""
 
+    def renumber(self, service: str, order: StoredOrder) -> bool:
+        """Let the known move follow its order to another era of the store.
+
+        An order that is written again after a return of the store has another version.
+        Returns whether the move has been renumbered.
+        """
+        tracked = self.tracked.get(service)
+        if tracked is None:
+            return False
+        move, request = tracked.move, order.order
+        if get_era(move.order) >= get_era(order.version):
+            return False
+        if (move.to, move.seconds) != (request.to, request.seconds):
+            return False
+        tracked.move = attrs.evolve(move, order=order.version)
+        return True
+
     def handle_update(self, update: MoveUpdate) -> None:
         """Merge the state of a move sent by another node."""
         move = decode_move(update.value)
--- a/cactusshed/mesh/probes.py
+++ b/cactusshed/mesh/probes.py
@@ -58,7 +58,7 @@
         return [
             ("version", node.records.table.version),
             ("store_answer_age_seconds", now - node.relay.last_store_answer),
-            ("store_era", node.store.era or 0),
+            ("store_era", node.store.era),
             ("store_revision", node.records.revision),
             ("store_last_change", node.records.last_change),
             ("peers_up", sum(m.is_up for m in node.peers.members.values())),
--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -1,7 +1,9 @@
 """Local copy of the operator's rows: configuration, evacuations and move orders.
 
 The rows come from the store's feed or from another node. A row is never replaced
-by an older version.
+by an older version. Versions include the store's era, so that all rows are newer than
+those known before a return of the store from an older copy. The configuration has a
+number of its own, which never goes back.
 """
 
 from collections import deque
@@ -45,8 +47,8 @@
 class Records:
     """The operator's rows and the state decoded from them.
 
-    `revision` is the store's counter up to which this node has read, `last_change`
-    its value at the last known change. The value of the configuration's row is
+    `revision` is the version up to which this node has read the store, `last_change`
+    that of the last known change. The value of the configuration's row is
     not stored, only the decoded table.
     """
 
@@ -66,10 +68,13 @@
     )
     """Earlier versions, with the routes and tenants that the next version changed."""
 
-    def apply_changes(self, rows: Iterable[StoredRow], revision: int) -> bool:
+    def apply_changes(
+        self, rows: Iterable[StoredRow], revision: int, changed_at: int = 0
+    ) -> bool:
         """Apply the rows that changed up to `revision`.
 
-        Returns false, and changes nothing, if more is known already.
+        Other nodes take over the result if their last change is before `changed_at` or
+        a row. Returns false, and changes nothing, if more is known already.
         """
         if revision < self.revision:
             self._note_older_read(revision)
@@ -78,19 +83,32 @@
         self.revision = revision
         if changed:
             base = self.table.version
-            self.last_change = max(self.last_change, *(row.version for row in changed))
+            versions = (row.version for row in changed)
+            self.last_change = max(self.last_change, changed_at, *versions)
             self._apply(changed)
             self.publish(base)
         return True
 
-    def replace_all(self, rows: Iterable[StoredRow], revision: int) -> bool:
+    def replace_all(
+        self, rows: Iterable[StoredRow], revision: int, changed_at: int = 0
+    ) -> bool:
         """Replace all rows by the operator's rows as of `revision`.
 
-        Returns false, and changes nothing, if more is known already.
+        For `changed_at` and the result see `apply_changes`.
         """
         rows = list(rows)
         removed = self._find_removed_rows(rows, revision)
-        return self.apply_changes([*rows, *removed], revision)
+        return self.apply_changes([*rows, *removed], revision, changed_at)
+
+    def add_all(self, rows: Iterable[StoredRow], revision: int) -> bool:
+        """Apply the operator's rows as of `revision`, which may lack recent changes.
+
+        After a return of the store, a row may be missing, or an order may be an earlier
+        one, until the operator has written again what was lost. Returns false, and
+        changes nothing, if more is known already.
+        """
+        certain = (row for row in rows if not row.key.startswith(MOVE_PREFIX))
+        return self.apply_changes(certain, revision)
 
     def _note_older_read(self, revision: int) -> None:
         self.counters.add("store_reads_older")
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -15,6 +15,7 @@
 from ..observe.lines import log_line
 from ..platform.rowkeys import MEMBER_PREFIX, OPERATOR_TABLE, SYSTEM_TABLE
 from ..platform.rows import ABSENT, ConditionalPut, HistoryGone, RowStore, StoredRow
+from ..store.versions import get_era
 from .frames import TargetState
 from .records import Records
 
@@ -30,6 +31,9 @@
 changes that the store still has. Reads may be some seconds behind."""
 READER_CHECK_SECONDS = 0.1
 """Interval at which a follower checks whether it must read the store itself."""
+SETTLE_SECONDS = 1.0
+"""Time after a return of the store in which the operator writes again what was lost;
+half of the time in which users require a change to take effect."""
 FIRST_UPDATE_SECONDS = 0.6
 """Time for the first update from the reader: a complete document over the slowest
 known links."""
@@ -90,6 +94,10 @@
     once, which shows the other nodes that it reads."""
     _has_followed: bool = False
     """Whether the feed has answered since all rows were last read."""
+    _era: int | None = None
+    """The store's era as of the last look at the records."""
+    _settles_at: float | None = None
+    """Time of the read that shows what is still missing after a return of the store."""
     _waiting_since: float | None = None
     """Start of the wait for the first update from the reader."""
     _row_version: int | None = None
@@ -111,6 +119,8 @@
         pause = MIN_BACKOFF_SECONDS
         is_full = self.records.revision == 0
         while True:
+            if self.records.revision:
+                self._note_era(get_era(self.records.revision))
             if self.records.revision and not self.is_reader():
                 await asyncio.sleep(READER_CHECK_SECONDS)
                 is_full = False
@@ -139,15 +149,16 @@
             # The reader of this data centre is expected to send its update.
             await asyncio.sleep(READER_CHECK_SECONDS)
             return True
-        if is_full:
+        if is_full or self._is_settled():
             if await self._read_all_rows():
                 return False
             await asyncio.sleep(OLDER_READ_PAUSE_SECONDS)
             return True
         after = self.records.revision
-        page = await self.store.wait_for_changes(
-            OPERATOR_TABLE, after, self._feed_seconds
-        )
+        wait = self._feed_seconds
+        if self._settles_at is not None:
+            wait = min(wait, max(0.0, self._settles_at - read_monotonic()))
+        page = await self.store.wait_for_changes(OPERATOR_TABLE, after, wait)
         self._feed_seconds = FEED_SECONDS
         self._has_followed = True
         self.note_store_answer()
@@ -160,10 +171,30 @@
         The feed can't go on then: it may have passed changes of which it did not tell.
         """
         self._has_followed = False
+        is_due = self._is_settled()
+        # The version of this write makes other nodes take over the rows that follow.
+        changed_at = await self.store.mark_era() if is_due else 0
         page = await self.store.read_table(OPERATOR_TABLE)
         self.note_store_answer()
         self.has_read_store.set()
-        return self.records.replace_all(page.rows, page.version)
+        self._note_era(get_era(page.version))
+        if self._settles_at is not None and not (is_due and self._is_settled()):
+            return self.records.add_all(page.rows, page.version)
+        if not self.records.replace_all(page.rows, page.version, changed_at):
+            return False
+        self._settles_at = None
+        return True
+
+    def _note_era(self, era: int) -> None:
+        """Note the store's era, which another node may have been the first to see."""
+        self.store.eras.note(era)
+        if self._era is not None and era > self._era:
+            self._settles_at = read_monotonic() + SETTLE_SECONDS
+        self._era = max(era, self._era or 0)
+
+    def _is_settled(self) -> bool:
+        """Return whether the read is due that ends the time after a return."""
+        return self._settles_at is not None and read_monotonic() >= self._settles_at
 
     def _has_waited_for_reader(self) -> bool:
         """Return whether the reader's time for sending a first update is over."""
--- a/cactusshed/platform/headers.py
+++ b/cactusshed/platform/headers.py
@@ -2,6 +2,8 @@
 
 import math
 
+from ..store.versions import MAX_ERA
+
 __all__ = [
     "ATTEMPT_ID",
     "CALLER",
@@ -87,4 +89,4 @@
     """Parse the number of an era of the store; `None` if absent or malformed."""
     if not text or not text.isdigit() or len(text) > MAX_TIME_DIGITS:
         return None
-    return int(text)
+    return min(int(text), MAX_ERA)
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -4,65 +4,30 @@
 from collections.abc import Iterable
 from urllib.parse import quote
 
-import attrs
 import msgspec
 
 from ..decoding import decode_json
-from ..errors import (
-    AnswerLost,
-    CactusError,
-    ConditionFailed,
-    Malformed,
-    PlatformUnavailable,
-)
+from ..errors import AnswerLost, ConditionFailed, Malformed, PlatformUnavailable
 from ..fields import read_int, read_list
 from ..mesh.upstream import Answer
 from ..observe.counters import Counters
-from ..observe.lines import log_line
 from ..options import Address
+from ..store.eras import RowName, StoreEras
 from ..store.httpcalls import HttpCalls
+from ..store.rowtypes import ABSENT, ConditionalPut, HistoryGone, Page, StoredRow
+from ..store.versions import get_era, get_number, make_version
 from .headers import STORE_ERA, read_store_era
-from .storedrows import StoredRow, find_last_key, read_rows
+from .storedrows import find_last_key, read_rows
 
 __all__ = ["ABSENT", "HistoryGone", "Page", "ConditionalPut", "RowStore", "StoredRow"]
 
 PATH = "/cactusshed/"
-ABSENT = 0
-"""Expected version of a row that must not exist."""
 CALL_TIMEOUT_SECONDS = 1.2
 """Time limit of a call: over twice the 0.5 s of a transaction in the slowest store."""
 FEED_MARGIN_SECONDS = 0.6
 """Time for the feed's response beyond the requested wait."""
 
 
-class HistoryGone(CactusError):
-    """The store no longer has the changes from which the feed should resume."""
-
-    code = "history-gone"
-    status = 410
-
-
-@attrs.frozen
-class Page:
-    """Rows as of transaction `version` of the store."""
-
-    rows: list[StoredRow]
-    version: int
-
-
-@attrs.frozen
-class ConditionalPut:
-    """A row to write, or to delete if `value` is `None`.
-
-    It takes effect only if the row is at version `expected`.
-    """
-
-    table: str
-    key: str
-    value: bytes | None
-    expected: int
-
-
 class RowStore:
     """Client of the store at one address; every call has a time limit."""
 
@@ -73,13 +38,18 @@
         self._calls = HttpCalls("store", address, counters)
         self._counters = counters
         self._timeout = CALL_TIMEOUT_SECONDS if timeout is None else timeout
-        self.era: int | None = None
-        """Highest era that the store has stated; `None` if it states none."""
+        self.eras = StoreEras(counters)
+
+    @property
+    def era(self) -> int:
+        """Return the highest era that the store has stated, 0 if it states none."""
+        return self.eras.current
 
     async def read_table(self, table: str, prefix: str = "") -> Page:
         """Return the rows of `table` whose keys start with `prefix`."""
         rows: list[StoredRow] = []
         start = prefix
+        era = None
         while True:
             query = f"table={quote(table)}&part="
             if start:
@@ -89,6 +59,11 @@
             found, last_key, version = await self._read(
                 f"rows-get?{query}", self._timeout
             )
+            if get_era(version) != era and rows:
+                # The pages so far are of another state of the table.
+                rows, start, era = [], prefix, None
+                continue
+            era = get_era(version)
             rows.extend(found)
             if not last_key:
                 return Page(rows, version)
@@ -117,20 +92,25 @@
         Without changes, waits up to `wait` seconds for one. Raises `HistoryGone` if
         the whole table must be read instead.
         """
-        target = f"rows-feed?table={quote(table)}&after={after}"
+        if not self.eras.is_current(after):
+            raise HistoryGone("the store has come back", step="follow rows")
+        target = f"rows-feed?table={quote(table)}&after={get_number(after)}"
         target += f"&wait_ms={int(wait * 1000)}"
         rows, _, version = await self._read(target, wait + FEED_MARGIN_SECONDS)
+        if get_era(version) != get_era(after):
+            raise HistoryGone("the store has come back", step="follow rows")
         return Page(rows, version)
 
     async def write(self, puts: Iterable[ConditionalPut]) -> int:
         """Apply all of `puts` or none; return the new version.
 
         Raises `ConditionFailed` or `PlatformUnavailable` if nothing was written, and
-        `AnswerLost` if the write may have happened or may still happen.
+        `AnswerLost` if the write may have happened or may still happen. An expected
+        version of an earlier era is no longer that of any row.
         """
         puts = list(puts)
         return await self._transact(
-            [{**_encode_key(p.table, p.key), "ver": p.expected} for p in puts],
+            {(p.table, p.key): p.expected for p in puts},
             {(p.table, p.key): p.value for p in puts},
         )
 
@@ -142,15 +122,25 @@
     ) -> int:
         """Write or delete `values` if all rows in `expected` have these versions."""
         return await self._transact(
-            [{**_encode_key(table, key), "ver": ver} for key, ver in expected.items()],
+            {(table, key): version for key, version in expected.items()},
             {(table, key): value for key, value in values.items()},
         )
 
+    async def mark_era(self) -> int:
+        """Mark the present era; return a version above all that were read before."""
+        return await self._transact({}, self.eras.list_marks(is_forced=True))
+
     async def _transact(
-        self, expected: list[dict], values: dict[tuple[str, str], bytes | None]
+        self, expected: dict[RowName, int], values: dict[RowName, bytes | None]
     ) -> int:
+        known_era = self.era
+        numbers = self.eras.list_conditions(expected)
+        values = {**values, **self.eras.list_marks()}
         body = {
-            "expected_rev": expected,
+            "expected_rev": [
+                {**_encode_key(*name), "ver": number}
+                for name, number in numbers.items()
+            ],
             "puts": [
                 {**_encode_key(*name), "value": base64.b64encode(value).decode()}
                 for name, value in values.items()
@@ -161,11 +151,14 @@
         self._counters.add("store_writes")
         data = msgspec.json.encode(body)
         answer = await self._calls.call(b"POST", PATH + "rows-tx", data, self._timeout)
-        self._note_era(answer)
+        era = self._read_era(answer)
         if answer.status == 412:
             raise ConditionFailed("a row is at another version", step="write rows")
         fields = _decode(answer, "write rows")
-        return read_int(fields, "ver", 0)
+        if known_era not in (0, era):
+            raise AnswerLost("the store has come back", step="write rows")
+        self.eras.note_written(known_era)
+        return make_version(era, read_int(fields, "ver", 0))
 
     async def put_object(self, name: str, data: bytes) -> None:
         """Store `data` as object `name`; raise `AnswerLost` if unconfirmed."""
@@ -195,24 +188,18 @@
             answer = await self._calls.call(b"GET", PATH + target, b"", timeout)
         except AnswerLost as error:
             raise PlatformUnavailable(error.message, step=error.step) from error
-        self._note_era(answer)
+        era = self._read_era(answer)
         if answer.status == 410:
             self._counters.add("store_history_gone")
             raise HistoryGone("the store no longer has the history", step="follow rows")
         fields = _decode(answer, "read rows")
         entries = read_list(fields, "rows")
-        rows = list(read_rows(entries, self._counters))
+        rows = list(read_rows(entries, self._counters, era))
         last_key = find_last_key(entries) if fields.get("has_more") else ""
-        return rows, last_key, read_int(fields, "ver")
-
-    def _note_era(self, answer: Answer) -> None:
-        era = read_store_era(answer.find(STORE_ERA))
-        if era is None or (self.era is not None and era <= self.era):
-            return
-        if self.era is not None:
-            self._counters.add("store_returns")
-            log_line("store-era", era=era, before=self.era)
-        self.era = era
+        return rows, last_key, make_version(era, read_int(fields, "ver"))
+
+    def _read_era(self, answer: Answer) -> int:
+        return self.eras.note_answer(read_store_era(answer.find(STORE_ERA)))
 
     def set_address(self, address: Address) -> None:
         """Use the store at another address from now on."""
--- a/cactusshed/platform/storedrows.py
+++ b/cactusshed/platform/storedrows.py
@@ -3,38 +3,23 @@
 import base64
 from collections.abc import Iterator
 
-import attrs
-
 from ..errors import Malformed
 from ..fields import read_int, read_text
 from ..observe.counters import Counters
 from ..observe.lines import log_line
+from ..store.rowtypes import StoredRow
+from ..store.versions import make_version
 
-__all__ = ["StoredRow", "find_last_key", "read_rows"]
+__all__ = ["find_last_key", "read_rows"]
 
 MAX_CAUSE_CHARS = 200
 
 
-@attrs.frozen
-class StoredRow:
-    """One row; `version` is the number of the transaction that wrote it.
-
-    The store numbers the transactions of all tables with one counter.
-    """
-
-    table: str
-    key: str
-    value: bytes = attrs.field(repr=False)
-    """Not shown: the row of a configuration contains the keys of the tenants."""
-    version: int
-    is_deleted: bool = False
-
-
-def read_rows(entries: list, counters: Counters) -> Iterator[StoredRow]:
-    """Yield the rows that can be read; the others don't hold them up."""
+def read_rows(entries: list, counters: Counters, era: int = 0) -> Iterator[StoredRow]:
+    """Yield the rows of `era` that can be read; the others don't hold them up."""
     for entry in entries:
         try:
-            yield _read_row(entry)
+            yield _read_row(entry, era)
         except (Malformed, ValueError) as error:
             counters.add("rows_refused")
             log_line("row-refused", cause=str(error)[:MAX_CAUSE_CHARS])
@@ -46,10 +31,10 @@
     return next((key for key in keys if key and isinstance(key, str)), "")
 
 
-def _read_row(row: object) -> StoredRow:
+def _read_row(row: object, era: int) -> StoredRow:
     """Return one row; raise `Malformed` or `ValueError`."""
     table, key = read_text(row, "table"), read_text(row, "key")
-    version = read_int(row, "ver")
+    version = make_version(era, read_int(row, "ver"))
     if row.get("deleted"):
         return StoredRow(table, key, b"", version, is_deleted=True)
     value = row.get("value")
--- a/cactusshed/store/claimwriter.py
+++ b/cactusshed/store/claimwriter.py
@@ -34,8 +34,9 @@
 
 GROUP_SECONDS = 0.004
 """Time for which claims are collected into one transaction."""
-MAX_GROUP = 50
-"""Maximum number of rows in one transaction."""
+MAX_GROUP = 49
+"""Maximum number of rows in one transaction. The platform takes 100 entries: a
+condition and a write for each row, and two for the era of the store."""
 RETRY_SECONDS = 0.2
 """Wait before a failed write is retried."""
 
