A node writes its row again if the store has come back without it

Nodes that started after a return found no other node for up to 20 s, and a node that restarted opened its gate to a target whose leave had been acknowledged (DRAIN): the row had been lost, and the node that wrote it took it for written. Now each node reads its row after a return, spread over a second, and writes it if it is missing or older.

--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -44,6 +44,9 @@
 MEMBERS_INTERVAL_SECONDS = 20.0
 """Interval between a reader's reads of the member rows; in between, nodes learn of new
 members from their `Hello`."""
+RESTORE_SECONDS = 1.0
+"""Range of the random delay with which nodes read their rows after a return of the
+store: all of them need to, and the store takes a limited number of calls a second."""
 FOLLOWER_MEMBERS_SECONDS = 100.0
 """The same for the other nodes: less than the time after which a node is forgotten."""
 
@@ -101,6 +104,8 @@
     _waiting_since: float | None = None
     """Start of the wait for the first update from the reader."""
     _row_version: int | None = None
+    _row_era: int = 0
+    """The store's era when the row was last read or written."""
     _write_requested: asyncio.Event = attrs.Factory(asyncio.Event)
     _lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
     _written_state: TargetState | None = None
@@ -190,6 +195,8 @@
         self.store.eras.note(era)
         if self._era is not None and era > self._era:
             self._settles_at = read_monotonic() + SETTLE_SECONDS
+            delay = random.uniform(0.0, RESTORE_SECONDS)  # noqa: S311
+            asyncio.get_running_loop().call_later(delay, self.request_write)
         self._era = max(era, self._era or 0)
 
     def _is_settled(self) -> bool:
@@ -240,6 +247,7 @@
             self._apply_member_row(row)
         if self._row_version is None:
             self._row_version = ABSENT
+            self._row_era = get_era(page.version)
 
     def _apply_member_row(self, row: StoredRow) -> None:
         member = decode_member(row)
@@ -252,6 +260,7 @@
         if member.node == self.node:
             if self._row_version is None or row.version > self._row_version:
                 self._row_version = row.version
+                self._row_era = get_era(row.version)
                 self._written_state = member.state
                 self.restore_state(member.state)
             return
@@ -282,6 +291,8 @@
         async with self._lock:
             if self._row_version is None:
                 return False
+            if self._row_era != self.store.era and not await self._read_row():
+                return False
             state = self.get_state()
             if self._is_written(state):
                 self._row_written.set()
@@ -290,6 +301,7 @@
             put = ConditionalPut(SYSTEM_TABLE, self.key, row, self._row_version)
             try:
                 self._row_version = await self.store.write([put])
+                self._row_era = get_era(self._row_version)
             except (ConditionFailed, AnswerLost):
                 # The write may have taken effect. Only this node writes the row, so the
                 # stored version and state can be adopted.
@@ -301,11 +313,13 @@
             self._row_written.set()
             return True
 
-    async def _read_row(self) -> None:
+    async def _read_row(self) -> bool:
+        """Read this node's row; return whether the store has answered."""
         try:
             page = await self.store.read_table(SYSTEM_TABLE, self.key)
         except CactusError:
-            return
+            return False
+        self._row_era = get_era(page.version)
         self._row_version = ABSENT
         self._written_state = None
         for row in page.rows:
@@ -313,10 +327,13 @@
                 self._row_version = row.version
                 member = decode_member(row)
                 self._written_state = member.state if member else None
+        return True
 
     async def remove_row(self) -> None:
         """Remove this node's row, because the node will not return."""
         async with self._lock:
+            if self._row_era != self.store.era:
+                await self._read_row()
             if not self._row_version:
                 return
             try:
