The end of a move is recorded again if the store has come back without it

Operators waited for the status of a move that had ended: complete or rolled_back was lost with the row, and nobody wrote it again. The holder of a running move expected a version that its row did not have any more, and a row older than what it knew could replace its state. Now a move's row holds the era of its write, which orders rows also when the store still has them from before; an older row is never adopted, and the holder, or after its time another node, writes an end again that the store does not have.

--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -48,6 +48,8 @@
     evidence: MoveEvidence
     _orders_seen: dict[str, tuple[int, float]] = attrs.Factory(dict)
     """Version of each service's order, and the monotonic time it was first seen."""
+    _era_seen: tuple[int, float] = (0, 0.0)
+    """The store's era, and the monotonic time it was first seen."""
 
     async def run(self) -> None:
         """Execute orders until cancelled."""
@@ -60,6 +62,8 @@
             await asyncio.sleep(STEP_SECONDS)
             self.moves.apply_to_gate()
             now = read_monotonic()
+            if self._era_seen[0] != self.store.era:
+                self._era_seen = (self.store.era, now)
             for service, order in list(self.records.orders.items()):
                 self._note_order(service, order, now)
                 try:
@@ -90,6 +94,8 @@
                 and tracked.written_at < tracked.updated_at
             ):
                 await self._write_rollback(tracked)
+            elif tracked.kept_in_era != self.store.era:
+                await self._restore_row(tracked, now)
             return
         if is_current and tracked.move.holder == self.node:
             await self._advance(tracked, order)
@@ -194,26 +200,43 @@
             if not terms.may_take_over(tracked.updated_at, now, rank):
                 return
         version, stored = await read_move(self.store, tracked.move.service)
-        if version != ABSENT:
-            tracked.version = version
+        tracked.version = version
         is_same = stored is not None and stored.order == tracked.move.order
         if is_same and stored.has_ended:
             tracked.written_at = read_monotonic()
             tracked.updated_at = min(tracked.updated_at, tracked.written_at)
             tracked.move = stored
+            tracked.note_row(version)
             self.moves.apply_to_gate()
             return
         await self._write(tracked, attrs.evolve(tracked.move, holder=self.node))
 
+    async def _restore_row(self, tracked: TrackedMove, now: float) -> None:
+        """Write the end of a move again if the store has come back without it."""
+        if tracked.move.holder != self.node:
+            terms = LeaseTerms(TAKEOVER_SECONDS, rank_delay=TAKEOVER_SECONDS)
+            rank = self._get_node_rank()
+            if not terms.may_take_over(self._era_seen[1], now, rank):
+                return
+        version, stored = await read_move(self.store, tracked.move.service)
+        tracked.version = version
+        has_ended = stored is not None and stored.has_ended
+        if has_ended and tracked.is_known(stored, version):
+            tracked.note_row(version)
+            self._broadcast_move(tracked)
+        else:
+            await self._write(tracked, attrs.evolve(tracked.move, holder=self.node))
+
     async def _write(self, tracked: TrackedMove, move: Move) -> None:
         """Write the move's row and the operator's status row, then broadcast the move.
 
         A write that fails or loses its condition is followed by a read of the row.
         """
+        move = attrs.evolve(move, era=self.store.era)
         is_new = tracked.version == ABSENT or tracked.move.order != move.order
         with_status = is_new or move.has_ended or tracked.status_version is None
         try:
-            tracked.version = await write_move(
+            version = await write_move(
                 self.store, move, tracked.version, with_status=with_status
             )
         except ConditionFailed:
@@ -227,12 +250,13 @@
             tracked.status_version = None
             await self._reload_row(tracked)
             raise
-        tracked.status_version = tracked.version
+        tracked.status_version = version
         tracked.written_at = read_monotonic()
         if move.state == REVERTED:
             tracked.updated_at = min(tracked.updated_at, tracked.written_at)
         step = _get_step(tracked.move)
         tracked.move = move
+        tracked.note_row(version)
         if move.state != REVERTED:
             tracked.updated_at = tracked.written_at
         if step != _get_step(move):
@@ -253,10 +277,11 @@
     async def _reload_row(self, tracked: TrackedMove) -> None:
         version, stored = await read_move(self.store, tracked.move.service)
         # The time of a row that is known runs since it was received.
-        if stored is not None and version != tracked.version:
+        tracked.version = version
+        if stored is not None and tracked.is_older_than(stored, version):
             if tracked.move.state != REVERTED or stored.has_ended:
                 tracked.move = stored
-            tracked.version = version
+                tracked.note_row(version)
             tracked.updated_at = read_monotonic()
         self.moves.apply_to_gate()
 
--- a/cactusshed/mesh/moves.py
+++ b/cactusshed/mesh/moves.py
@@ -13,7 +13,7 @@
 from ..platform.rows import ABSENT
 from ..policy.errorevidence import ErrorEvidence
 from ..policy.rollout import CLOSING, COMPLETE, REVERTED, Move, choose_version
-from ..store.versions import get_era
+from ..store.versions import get_era, get_number, make_version
 from .frames import MoveUpdate, TargetState, VersionTallies
 from .gate import Gate
 from .peers import Peers
@@ -29,6 +29,11 @@
     move: Move
     version: int = ABSENT
     """Version of the move's row in the store."""
+    written_as: int = ABSENT
+    """Version that this state of the move got when it was written. Unlike `version`, it
+    keeps the era of the write when the row is read in a later one."""
+    kept_in_era: int = 0
+    """The store's era in which the row was last known to hold this state."""
     updated_at: float = 0.0
     written_at: float = 0.0
     status_version: int | None = None
@@ -46,6 +51,28 @@
         """Return the seconds since the order, by this node's clock."""
         return self.move.elapsed + read_monotonic() - self.updated_at
 
+    def note_row(self, version: int) -> None:
+        """Record that the row at `version` holds the known state."""
+        self.version = max(self.version, version)
+        self.written_as = _get_write(self.move, version)
+        self.kept_in_era = get_era(version)
+
+    def is_known(self, move: Move, version: int) -> bool:
+        """Return whether a row at `version` with `move` is the one known here."""
+        return _get_write(move, version) == self.written_as
+
+    def is_older_than(self, move: Move, version: int) -> bool:
+        """Return whether a row at `version` with `move` was written later."""
+        return _get_write(move, version) > self.written_as
+
+
+def _get_write(move: Move, version: int) -> int:
+    """Return the version that a row got when it was written.
+
+    A store that comes back from a copy still has rows of earlier eras.
+    """
+    return make_version(move.era, get_number(version))
+
 
 @attrs.define(eq=False)
 class Moves:
@@ -143,14 +170,20 @@
                 move, updated_at=read_monotonic()
             )
         elif not _supersedes(tracked, move, version):
+            if tracked.is_known(move, version) and version > tracked.version:
+                # The store still has the row after a return.
+                tracked.note_row(version)
             return False
         elif tracked.move.order == move.order and tracked.move.state == REVERTED:
             # The move was rolled back and the row may not show it yet.
             tracked.version = max(tracked.version, version)
+            if move.state == REVERTED and tracked.is_older_than(move, version):
+                tracked.move = attrs.evolve(tracked.move, era=move.era)
+                tracked.note_row(version)
             return False
         before = tracked.move
         tracked.move = move
-        tracked.version = max(tracked.version, version)
+        tracked.note_row(version)
         tracked.updated_at = read_monotonic()
         if (before.state, before.share) != (move.state, move.share):
             log_line(
@@ -219,7 +252,7 @@
         return move.order > tracked.move.order
     if move.state == REVERTED and not tracked.move.has_ended:
         return True
-    return version > tracked.version
+    return tracked.is_older_than(move, version)
 
 
 def encode_move(move: Move) -> bytes:
--- a/cactusshed/policy/rollout.py
+++ b/cactusshed/policy/rollout.py
@@ -71,9 +71,10 @@
     """A move of a service from one version to another.
 
     `order` is the version of the operator's row; it distinguishes a later order
-    for the same service. `elapsed` is the time since the order, in seconds, and
-    `stage_start` its value at the start of the stage. Moves are stored as JSON
-    under these field names.
+    for the same service. `era` is the store's era in which the row was written; a row
+    that the store still has from an earlier era keeps that era. `elapsed` is the time
+    since the order, in seconds, and `stage_start` its value at the start of the stage.
+    Moves are stored as JSON under these field names.
     """
 
     service: str
@@ -88,6 +89,7 @@
     reason: str = ""
     stage: Count = 0
     stage_start: FiniteNumber = 0.0
+    era: Count = 0
 
     @property
     def has_ended(self) -> bool:
