The usage duty goes on with its own counts after a return of the store

The platform would have got a token for the second time, and other counts for windows already reported: the row of the copy named an earlier holder, token and first window, while the nodes had dropped the counts before the later one. Now a holder whose lease is live writes its row again, unless another node has written in the new era, and a new holder takes a token and a first window above all that it has seen.

--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -73,6 +73,9 @@
     started_at: float
     holder: str = ""
     token: int = 0
+    """Highest token seen; after a return of the store its row may have a lower one."""
+    first: int = 0
+    """First window that is not fixed, as far as known."""
     version: int = 0
     seen_at: float | None = None
     """When the row's present version was first seen; `None` before that."""
@@ -80,11 +83,15 @@
     rests_until: float = float("-inf")
     """Time before which this node, having given up the duty, does not take it."""
 
-    def note(self, holder: str, token: int, version: int, now: float) -> bool:
+    def note(
+        self, holder: str, token: int, version: int, now: float, first: int = 0
+    ) -> bool:
         """Record the row's version as seen at `now`; return whether it is newer."""
         if version <= self.version:
             return False
-        self.holder, self.token, self.version = holder, token, version
+        self.holder, self.version = holder, version
+        self.token = max(self.token, token)
+        self.first = max(self.first, first)
         self.seen_at = now
         self.next_try = float("-inf")
         return True
--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
+import msgspec
 
 from ..clock import read_monotonic
 from ..errors import AnswerLost, CactusError, ConditionFailed
@@ -28,6 +29,7 @@
 )
 from ..policy.usagewindows import MAX_KEPT_WINDOWS, WindowTotals, find_final_windows
 from ..store.lease import Lease
+from ..store.versions import get_era
 from .dutyrow import DUTY_KEY, DutyRow, read_duty, write_duty
 from .frames import UsageHolder
 
@@ -138,7 +140,9 @@
     def note_holder(self, frame: UsageHolder) -> bool:
         """Record what another node says of the row; return whether it is news."""
         now = self.read_boottime()
-        if not self.watch.note(frame.holder, frame.token, frame.version, now):
+        if not self.watch.note(
+            frame.holder, frame.token, frame.version, now, frame.first
+        ):
             return False
         if self.lease is not None and frame.token > self.lease.epoch:
             self._lose_lease("taken over")
@@ -157,7 +161,7 @@
         version, row = await read_duty(self.store)
         now = self.read_boottime()
         if version != ABSENT:
-            if self.watch.note(row.holder, row.token, version, now):
+            if self.watch.note(row.holder, row.token, version, now, row.first):
                 # The holder may be well, but out of this node's reach; other nodes in
                 # the same place need not read the row.
                 self.broadcast(UsageHolder(row.holder, row.token, version, row.first))
@@ -165,12 +169,15 @@
             if not self.watch.may_take(version, now):
                 return
         row = row or DutyRow(self.node, self.start_time, 0)
+        # After a return of the store the row may be older than what nodes know of it.
+        token = choose_next_token(max(row.token, self.watch.token))
+        row = msgspec.structs.replace(row, first=max(row.first, self.watch.first))
         self._is_weak = is_weak
         self.acknowledged.clear()
         self.unreachable_since = None
         # The standby has the other nodes' counts already.
         first, fixed = self._choose_content(row, now, 0.0)
-        await self._write(first, fixed, choose_next_token(row.token), version)
+        await self._write(first, fixed, token, version)
 
     async def _renew(self, now: float) -> None:
         first, fixed = self._choose_content(self.row, now, now - self._acquired_at)
@@ -225,7 +232,15 @@
         """
         started = self._written_at = self.read_boottime()
         self._writes += 1
-        row = DutyRow(self.node, self.start_time, token, first, self._writes, fixed)
+        row = DutyRow(
+            self.node,
+            self.start_time,
+            token,
+            first,
+            self._writes,
+            fixed,
+            self.store.era,
+        )
         self._pending = (row, started)
         try:
             written = await write_duty(self.store, row, version)
@@ -239,6 +254,10 @@
         """Read the row after a write whose effect is unknown."""
         version, row = await read_duty(self.store)
         self._must_read = False
+        if self._is_lost(row):
+            log_line("duty-row-lost", row=version, known=self.lease.row_version)
+            await self._write(self.row.first, self.row.fixed, self.row.token, version)
+            return
         is_own = row is not None and (row.holder, row.start_time) == (
             self.node,
             self.start_time,
@@ -246,7 +265,7 @@
         if not is_own:
             if row is not None:
                 now = self.read_boottime()
-                self.watch.note(row.holder, row.token, version, now)
+                self.watch.note(row.holder, row.token, version, now, row.first)
             self._lose_lease("overtaken")
             return
         pending, started = self._pending
@@ -257,6 +276,18 @@
             self._written_at = float("-inf")
             self._adopt(row, version, None)
 
+    def _is_lost(self, row: DutyRow | None) -> bool:
+        """Return whether the store has come back without this node's last write.
+
+        Once the lease has ended, another node's write may have been lost, too.
+        """
+        lease = self.lease
+        if lease is None or self.store.era == get_era(lease.row_version):
+            return False
+        if row is not None and (row == self._pending[0] or row.era == self.store.era):
+            return False
+        return lease.is_live(self.read_boottime())
+
     def _adopt(self, row: DutyRow, version: int, started: float | None) -> None:
         """Hold the lease of a row of this node, whose write began at `started`."""
         before = self.lease
@@ -268,7 +299,7 @@
         self.row = row
         self.acknowledged &= row.fixed.keys()
         now = self.read_boottime()
-        self.watch.note(self.node, row.token, version, now)
+        self.watch.note(self.node, row.token, version, now, row.first)
         self.totals.drop_before(row.first)
         if before is None:
             self._acquired_at = now
--- a/cactusshed/usage/dutyrow.py
+++ b/cactusshed/usage/dutyrow.py
@@ -27,6 +27,8 @@
     """Number of the holder's write, by which it recognizes its own writes."""
     fixed: dict[int, dict[str, Count]] = {}
     """Counts of the fixed windows that the platform has not acknowledged."""
+    era: Count = 0
+    """The store's era in which the row was written."""
 
 
 async def read_duty(store: RowStore) -> tuple[int, DutyRow | None]:
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -615,6 +615,63 @@
         fleet.store.fault = ""
 
 
+@pytest.mark.parametrize("seconds", [0.5, 2.0, 6.0, 12.0])
+def test_holder_keeps_the_duty_after_a_return_of_the_store(seconds):
+    """The row of the copy had windows unfixed whose counts the nodes had dropped."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(21.3)
+        copy = fleet.store.take_copy()
+        await asyncio.sleep(seconds)
+        fleet.store.return_to(copy)
+        await asyncio.sleep(30)
+
+    fleet = run_fleet(scenario)
+    assert_rules(fleet)
+    assert_that(len({report.holder for report in fleet.reports}), Equals(1))
+
+
+@pytest.mark.parametrize("offset", [0.0, 1.4, 3.1])
+def test_takeover_that_the_store_has_lost_repeats_no_token(offset):
+    """The row of the copy names the holder before, with a token that is used up."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(21.3 + offset)
+        copy = fleet.store.take_copy()
+        killed = await fleet.wait_holder()
+        fleet.kill(killed)
+        await fleet.wait_holder(other_than=killed)
+        await asyncio.sleep(1.0)
+        fleet.store.return_to(copy)
+        await asyncio.sleep(2.0)
+        fleet.kill(await fleet.wait_holder())
+        await fleet.wait_holder()
+        await asyncio.sleep(30)
+
+    fleet = run_fleet(scenario)
+    assert_that(fleet.find_breaches(), Equals([]))
+    assert_that(fleet.overlaps[:3], Equals([]))
+    assert_that(fleet.find_missing(), Equals([]))
+
+
+def test_holder_that_ended_before_a_return_of_the_store_is_replaced():
+    """The next holder must neither repeat a token nor fix windows a second time."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(17.3)
+        copy = fleet.store.take_copy()
+        await asyncio.sleep(7.0)
+        fleet.kill(await fleet.wait_holder())
+        fleet.store.return_to(copy)
+        await fleet.wait_holder()
+        await asyncio.sleep(30)
+
+    fleet = run_fleet(scenario)
+    assert_that(fleet.find_breaches(), Equals([]))
+    assert_that(fleet.overlaps[:3], Equals([]))
+    assert_that(fleet.find_missing(), Equals([]))
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_random_faults(seed):
     """Guards against breaches by faults that coincide, in an order nobody thought of.
--- a/tests/usagefleet.py
+++ b/tests/usagefleet.py
@@ -15,6 +15,7 @@
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address
 from cactusshed.platform.rows import StoredRow
+from cactusshed.store.versions import get_era, get_number, make_version
 from cactusshed.usage.reporter import UsageReporter
 
 __all__ = ["EPOCH", "Report", "UsageFleet"]
@@ -160,6 +161,7 @@
 
     rows: dict = attrs.Factory(dict)
     version: int = 0
+    era: int = 0
     fault: str = ""
     latency: float = LATENCY
     calls: int = 0
@@ -169,13 +171,27 @@
     def commit(self, puts) -> int | None:
         """Apply conditional writes; return the new version, or `None` if refused."""
         for put in puts:
-            if self.rows.get(put.key, (b"", 0))[1] != put.expected:
+            expected = get_number(put.expected)
+            if self.rows.get(put.key, (b"", 0))[1] != expected:
+                return None
+            if expected and get_era(put.expected) != self.era:
+                # The client checks this, or else a row that each write checks.
                 return None
         self.version += 1
         self.committed_at = asyncio.get_running_loop().time()
         for put in puts:
             self.rows[put.key] = (put.value, self.version)
-        return self.version
+        return make_version(self.era, self.version)
+
+    def take_copy(self) -> tuple[dict, int]:
+        """Return the present state, to which the store may return later."""
+        return dict(self.rows), self.version
+
+    def return_to(self, state: tuple[dict, int]) -> None:
+        """Go back to an earlier state and start the next era."""
+        rows, self.version = state
+        self.rows = dict(rows)
+        self.era += 1
 
 
 @attrs.define(eq=False)
@@ -184,6 +200,7 @@
 
     store: FakeStore
     host: Host
+    era: int = 0
 
     async def _begin(self) -> str:
         self.store.calls += 1
@@ -198,9 +215,12 @@
         if await self._begin() in ("cut", "silent"):
             await self.host.sleep(CALL_SECONDS)
             raise PlatformUnavailable("no response")
-        found = self.store.rows.get(key)
+        found, self.era = self.store.rows.get(key), self.store.era
         await self.host.sleep(LATENCY)
-        return None if found is None else StoredRow(table, key, *found)
+        if found is None:
+            return None
+        value, number = found
+        return StoredRow(table, key, value, make_version(self.era, number))
 
     async def write(self, puts) -> int:
         """Write rows."""
@@ -215,6 +235,7 @@
             await self.host.sleep(CALL_SECONDS)
             raise AnswerLost("no response")
         version = self.store.commit(puts)
+        self.era = self.store.era
         await self.host.sleep(CALL_SECONDS if fault == "lose" else LATENCY)
         if fault == "lose":
             raise AnswerLost("no response")
