Changes of the product that the platform lost are written again

After the platform had come back from an older copy, nodes went on serving the lost changes, and no node could accept another one: its tree was ahead of the head, so every change was refused as a damaged update. Now a node that polls a head behind its own version writes the changes in between again, on condition of that head, if its own history leads through it; until then a change is refused as not written, and may be sent again. A head of another history is left alone and logged.

--- a/cactusshed/spread/poller.py
+++ b/cactusshed/spread/poller.py
@@ -14,7 +14,8 @@
 from ..observe.counters import Counters
 from ..observe.events import log_event
 from ..settings import Settings
-from ..store.acceptance import load_head, load_tree_at
+from ..store.acceptance import Head, load_head, load_tree_at
+from ..store.lostchanges import restore_changes
 from ..store.port import Port
 from .activeversion import ActiveVersion
 from .follower import fetch_updates
@@ -102,6 +103,8 @@
                 tree, changes = await load_tree_at(self.port, self.current.tree, head)
                 if tree.number > self.current.number:
                     self.current.swap(tree, changes)
+            if head.number < self.current.number:
+                await self._restore_changes(head)
             if head.number <= self.current.number:
                 self.current.confirm(requested_at)
         except CactusError as error:
@@ -112,6 +115,17 @@
             self._platform_reachable = True
             log_event("platform-back", version=self.current.number)
 
+    async def _restore_changes(self, head: Head) -> None:
+        """Write the changes after `head` again, which the platform has lost."""
+        changes = self.current.list_changes_after(max(0, head.number - 1))
+        is_restored = bool(changes) and await restore_changes(self.port, head, changes)
+        self.counters.add("heads_restored" if is_restored else "heads_not_restored")
+        log_event(
+            "head-restored" if is_restored else "head-not-restored",
+            head=head.number,
+            version=self.current.number,
+        )
+
     def _record_failure(self, error: CactusError) -> None:
         self.counters.add("polls_failed")
         if self._platform_reachable:
--- a/cactusshed/store/acceptance.py
+++ b/cactusshed/store/acceptance.py
@@ -24,12 +24,16 @@
 from .port import ABSENT, Condition, Port, Row, Write
 
 __all__ = [
+    "HEAD_KEY",
     "Head",
     "Proposal",
     "accept_change",
     "load_head",
     "load_tree_at",
+    "make_change_writes",
+    "make_head_write",
     "read_changes",
+    "read_head",
 ]
 
 HEAD_KEY = "head"
@@ -190,6 +194,10 @@
     port: Port, proposal: Proposal, tree: Tree
 ) -> tuple[Change, Tree]:
     head, row_version = await read_head(port)
+    if head.number < tree.number:
+        raise PlatformUnavailable(
+            f"the platform has lost the changes after {head.number}", step="accept"
+        )
     accepted = await _find_accepted(port, proposal.change_id, tree, head)
     if accepted is not None:
         return accepted
@@ -276,8 +284,20 @@
         *proposal.guards,
     ]
     writes = [
-        Write(HEAD_KEY, msgspec.json.encode(head).decode()),
+        make_head_write(head),
+        *make_change_writes(change),
+    ]
+    return conditions, writes
+
+
+def make_head_write(head: Head) -> Write:
+    """Return the write of the head's row."""
+    return Write(HEAD_KEY, msgspec.json.encode(head).decode())
+
+
+def make_change_writes(change: Change) -> list[Write]:
+    """Return the writes of the rows of an accepted change."""
+    return [
         Write(make_change_key(change.number), dump_change(change).decode()),
         Write(make_id_key(change.change_id), str(change.number)),
     ]
-    return conditions, writes
