An answer whose status is none of HTTP is malformed

A target in trouble answered with status 000. The same reader serves health checks, the store's client and the usage reports, and serve/ had one of its own with the same rule. Now a status outside 100 to 599 ends the exchange at once as a malformed answer, in both readers.

--- a/cactusshed/mesh/upstream.py
+++ b/cactusshed/mesh/upstream.py
@@ -16,6 +16,7 @@
 from ..readbuffer import SharedBufferProtocol
 from ..requestparser import has_unknown_coding
 from ..sockets import discard_unsent, enable_keepalive
+from ..statuscodes import is_final
 from .answermeter import MAX_ANSWER_BYTES, AnswerMeter, TooManyBytes
 
 __all__ = [
@@ -32,8 +33,6 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Timeout for connecting; long enough for one retransmitted SYN on these networks."""
-FIRST_FINAL_STATUS = 200
-"""Lowest status of a final answer; lower ones are interim (1xx)."""
 NO_BODY_STATUSES = (204, 304)
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -177,8 +176,7 @@
 
     def on_headers_complete(self) -> None:
         """Record the end of the head; complete an answer to HEAD, which has no body."""
-        status = self._parser.get_status_code()
-        self._has_head = status >= FIRST_FINAL_STATUS
+        self._has_head = is_final(self._parser.get_status_code())
         if not self._has_head:
             self._meter.add_interim()
         elif has_unknown_coding(self._headers):
--- a/cactusshed/serve/parsedresponse.py
+++ b/cactusshed/serve/parsedresponse.py
@@ -3,13 +3,11 @@
 import httptools
 
 from ..policy.parsework import LINE_BYTES, MAX_HEAD_BYTES, ParseCredit
+from ..statuscodes import is_final
 from .messages import Headers
 
 __all__ = ["ParsedResponse"]
 
-FIRST_FINAL_STATUS = 200
-"""Lower status codes are interim (1xx) responses."""
-
 
 class ParsedResponse:
     """State of one response, filled by the callbacks of the httptools parser."""
@@ -50,7 +48,7 @@
     def on_headers_complete(self) -> None:
         """Record that all headers have arrived, unless the response is interim."""
         self.status = self._parser.get_status_code()
-        self.has_headers = self.status >= FIRST_FINAL_STATUS
+        self.has_headers = is_final(self.status)
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk to the part of the body that is not read yet."""
