--- a/soak/checks.py
+++ b/soak/checks.py
@@ -156,14 +156,18 @@
 
 
 def _check_activation(observations: Observations) -> Iterator[Violation]:
-    """Find added routes not in force in time although no unplanned fault overlaps."""
+    """Find added routes not in force in time.
+
+    An unplanned fault excuses that while it lasts and for a while after its end.
+    """
     for record in observations.records:
         added_at = observations.added_routes.get(
             record.path.split("/")[1], float("inf")
         )
         if record.status != 404 or record.sent <= added_at + APPLY_SECONDS:
             continue
-        if not overlaps_fault(observations, attrs.evolve(record, sent=added_at)):
+        since = max(added_at, record.sent - APPLY_SECONDS)
+        if not overlaps_fault(observations, attrs.evolve(record, sent=since)):
             text = (
                 f"{record.request_id}: {record.path} unknown after "
                 f"{record.sent - added_at:.2f} s"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -35,6 +35,9 @@
     b"x" * 65_536,
 )
 """Values of other writers that can't be read: deep, no text, too large, too long."""
+MOMENT_SHARE, MAX_MOMENT_SECONDS = 0.5, 0.3
+"""Share of the returns of the store after which the operator needs a moment to write
+its changes again, and the longest moment."""
 LIMITS = (0.5, 2.0, 7.5)
 """Limits in requests per second that targets name, far below the load on a target."""
 
@@ -84,6 +87,38 @@
     injector.fleet.store.drop_history()
 
 
+async def _return_store(injector: "Injector", _node: Node) -> None:
+    """Let the store come back from a copy, without what was written since.
+
+    The operator's changes are written again at once or a moment later.
+    """
+    store = injector.fleet.store
+    era, copy = store.era, store.take_copy()
+    await asyncio.sleep(injector.draw_duration())
+    store.fault = "busy"
+    await asyncio.sleep(injector.rng.uniform(0.0, 0.5))
+    store.fault = "up"
+    if store.era != era:
+        return
+    lost = store.return_to(copy)
+    if injector.rng.random() < MOMENT_SHARE:
+        await asyncio.sleep(injector.rng.uniform(0.0, MAX_MOMENT_SECONDS))
+    store.rewrite(lost)
+
+
+async def _put_store_behind(injector: "Injector", _node: Node) -> None:
+    """Keep changes from the feed, drop the history, and answer reads from a copy."""
+    store = injector.fleet.store
+    copy = store.take_copy()
+    store.is_deaf = True
+    await asyncio.sleep(1.0)
+    store.stale = copy
+    store.drop_history()
+    store.is_deaf = False
+    await asyncio.sleep(injector.draw_duration())
+    store.stale = None
+
+
 def _spoil_answers(share_name: str, share: float) -> Callable:
     async def inject(injector: "Injector", node: Node) -> None:
         setattr(node.target, share_name, share)
@@ -221,6 +256,8 @@
     "store-loses": _fail_store("lose"),
     "store-late": _fail_store("late"),
     "store-compact": _compact,
+    "store-returns": _return_store,
+    "store-behind": _put_store_behind,
     "answers-lost": _spoil_answers("lost_answer_share", 0.2),
     "answers-crossed": _spoil_answers("crossed_answer_share", 0.2),
     "answer-endless": _spoil_answers("endless_answer_share", 0.1),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -115,6 +115,7 @@
         """Return a fleet of `count` nodes in three data centres once all are ready."""
         address = Address("127.0.0.1", choose_port())
         store, _ = await open_row_store(address)
+        store.era = 1
         fleet = cls(store, folder, rng)
         fleet.store_address = address
         fleet.api_address = Address("127.0.0.1", choose_port())
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -221,6 +221,15 @@
         1,
         ("holder-kill",),
     ),
+    Mutation(
+        "rows of a later era are newer",
+        "store/versions.py",
+        "return (era << NUMBER_BITS) + number",
+        "return number",
+        "in-force",
+        1,
+        ("store-returns", "add-route"),
+    ),
     Mutation(
         "a node's totals replace its earlier ones",
         "policy/usagewindows.py",
