The node's own row has a module of its own

The latter moves to mesh/memberrow.py with its state and without a change of behaviour; tests reach it as own_row.

--- a/cactusshed/mesh/shutdown.py
+++ b/cactusshed/mesh/shutdown.py
@@ -13,7 +13,7 @@
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from .inbound import Inbound
 from .listener import Listener
-from .storesync import StoreSync
+from .memberrow import OwnRow
 
 __all__ = [
     "EXIT_SECONDS",
@@ -154,11 +154,11 @@
         await asyncio.sleep(POLL_SECONDS)
 
 
-async def remove_row(store_sync: StoreSync, killed_at: float) -> None:
+async def remove_row(own_row: OwnRow, killed_at: float) -> None:
     """Remove this node's row, if there is time before the SIGKILL at `killed_at`."""
     remaining = killed_at - EXIT_SECONDS - read_monotonic()
     try:
         async with asyncio.timeout(remaining):
-            await store_sync.remove_row()
+            await own_row.remove()
     except TimeoutError:
         log_line("row-not-removed", cause="no time left before SIGKILL")
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -47,6 +47,7 @@
 from .link import Link, serve_links
 from .listener import Listener
 from .member import Member
+from .memberrow import OwnRow
 from .movecontroller import MoveController
 from .moveevidence import MoveEvidence
 from .moves import Moves
@@ -146,20 +147,24 @@
             self.crash_tracker,
             self.counters,
             self._persist_state,
-            lambda: self.store_sync.request_write(),
+            lambda: self.own_row.request_write(),
             self._broadcast_state,
             self._broadcast_strikes,
             lambda: self.health_checks.request(),
         )
         self.health_checks = HealthChecks(self.gate, self.records, self.announcements)
-        self.store_sync = StoreSync(
+        self.own_row = OwnRow(
             settings.node,
             str(settings.peers),
+            self.store,
+            lambda: self.announcements.state,
+        )
+        self.store_sync = StoreSync(
             self.store,
             self.records,
+            self.own_row,
             self.counters,
             self._add_member,
-            lambda: self.announcements.state,
             self.announcements.restore_state,
             lambda: self.relay.is_reader(),
             lambda: self.relay.note_store_answer(),
@@ -212,8 +217,8 @@
 
         While the store is unavailable, only the peers hold the state.
         """
-        self.store_sync.request_write()
-        while not await self.store_sync.write_row():
+        self.own_row.request_write()
+        while not await self.own_row.write():
             await asyncio.sleep(ROW_RETRY_SECONDS)
 
     def _broadcast_strikes(self, strikes: list[Strike]) -> None:
@@ -363,7 +368,7 @@
         return [
             self.store_sync.follow,
             self.store_sync.keep_members,
-            self.store_sync.keep_row,
+            self.own_row.keep,
             self.move_controller.run,
             self.health_checks.run,
             self.announcements.refresh_periodically,
@@ -454,6 +459,6 @@
         if self.usage is not None:
             await self.usage.finish(killed_at - EXIT_SECONDS - read_monotonic())
         if self.announcements.state.leave_acknowledged:
-            await remove_row(self.store_sync, killed_at)
+            await remove_row(self.own_row, killed_at)
         await await_readers(readers, killed_at)
         await close_listeners(others, killed_at)
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -1,25 +1,28 @@
-"""Tasks that access the store: the operator's feed and this node's member row."""
+"""Tasks that read the store: the operator's feed and the rows of the members."""
 
 import asyncio
 import random
 from collections.abc import Callable
 
 import attrs
-import msgspec
 
 from ..clock import read_monotonic
-from ..decoding import decode_json
-from ..errors import AnswerLost, CactusError, ConditionFailed, Malformed
-from ..fields import check_address, check_text
+from ..errors import CactusError
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..platform.rowkeys import MEMBER_PREFIX, OPERATOR_TABLE, SYSTEM_TABLE
-from ..platform.rows import ABSENT, ConditionalPut, HistoryGone, RowStore, StoredRow
+from ..platform.rows import HistoryGone, RowStore, StoredRow
 from ..store.versions import get_era
 from .frames import TargetState
+from .memberrow import (
+    MAX_BACKOFF_SECONDS,
+    MIN_BACKOFF_SECONDS,
+    OwnRow,
+    decode_member,
+)
 from .records import Records
 
-__all__ = ["MemberRow", "StoreSync", "decode_member"]
+__all__ = ["StoreSync"]
 
 FEED_SECONDS = 2.0
 """Long-poll time of one feed call, short enough to detect a dead connection within
@@ -37,10 +40,6 @@
 FIRST_UPDATE_SECONDS = 0.6
 """Time for the first update from the reader: a complete document over the slowest
 known links."""
-MIN_BACKOFF_SECONDS = 0.05
-MAX_BACKOFF_SECONDS = 0.5
-"""Longest pause after a failure, so that rows are written soon after the store is
-reachable again."""
 MEMBERS_INTERVAL_SECONDS = 20.0
 """Interval between a reader's reads of the member rows; in between, nodes learn of new
 members from their `Hello`."""
@@ -51,38 +50,15 @@
 """The same for the other nodes: less than the time after which a node is forgotten."""
 
 
-class MemberRow(msgspec.Struct, frozen=True):
-    """Value of a node's row in the store."""
-
-    node: str
-    address: str
-    state: TargetState
-
-
-def decode_member(row: StoredRow) -> MemberRow | None:
-    """Return the member in a row; `None` if it names none that can be used."""
-    try:
-        member = decode_json(row.value, MemberRow, step="read member")
-        check_text("node", member.node)
-        check_address("address", member.address)
-        for text in (member.state.name, member.state.version):
-            check_text("state", text or "-")
-    except Malformed:
-        return None
-    return member if row.key == f"{MEMBER_PREFIX}{member.node}" else None
-
-
 @attrs.define(eq=False)
 class StoreSync:
-    """Follows the operator's feed, reads the members and writes this node's row."""
+    """Follows the operator's feed and reads the members, this node's row included."""
 
-    node: str
-    address: str
     store: RowStore
     records: Records
+    row: OwnRow
     counters: Counters
     on_member: Callable[[str, str], None]
-    get_state: Callable[[], TargetState]
     restore_state: Callable[[TargetState], None]
     is_reader: Callable[[], bool]
     """Returns whether this node must read the operator's rows itself."""
@@ -103,20 +79,8 @@
     """Time of the read that shows what is still missing after a return of the store."""
     _waiting_since: float | None = None
     """Start of the wait for the first update from the reader."""
-    _row_version: int | None = None
-    _row_era: int = 0
-    """The store's era when the row was last read or written."""
-    _write_requested: asyncio.Event = attrs.Factory(asyncio.Event)
-    _lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
-    _written_state: TargetState | None = None
-    _row_written: asyncio.Event = attrs.Factory(asyncio.Event)
     _refused_keys: set[str] = attrs.Factory(set)
 
-    @property
-    def key(self) -> str:
-        """Return the key of this node's row."""
-        return f"{MEMBER_PREFIX}{self.node}"
-
     async def follow(self) -> None:
         """Keep the records up to date until cancelled."""
         # An existing reader may be found in this time, which saves a call.
@@ -196,7 +160,7 @@
         if self._era is not None and era > self._era:
             self._settles_at = read_monotonic() + SETTLE_SECONDS
             delay = random.uniform(0.0, RESTORE_SECONDS)  # noqa: S311
-            asyncio.get_running_loop().call_later(delay, self.request_write)
+            asyncio.get_running_loop().call_later(delay, self.row.request_write)
         self._era = max(era, self._era or 0)
 
     def _is_settled(self) -> bool:
@@ -223,8 +187,8 @@
         start together at least one finds the other.
         """
         await self._read_members()
-        self.request_write()
-        await self._row_written.wait()
+        self.row.request_write()
+        await self.row.is_stored.wait()
         read_at = float("-inf")
         while True:
             age = read_monotonic() - read_at
@@ -245,9 +209,7 @@
                 pause = min(MAX_BACKOFF_SECONDS, 2 * pause)
         for row in page.rows:
             self._apply_member_row(row)
-        if self._row_version is None:
-            self._row_version = ABSENT
-            self._row_era = get_era(page.version)
+        self.row.note_absent(get_era(page.version))
 
     def _apply_member_row(self, row: StoredRow) -> None:
         member = decode_member(row)
@@ -257,99 +219,8 @@
                 self._refused_keys.add(row.key)
                 log_line("member-row-refused", key=row.key)
             return
-        if member.node == self.node:
-            if self._row_version is None or row.version > self._row_version:
-                self._row_version = row.version
-                self._row_era = get_era(row.version)
-                self._written_state = member.state
+        if member.node == self.row.node:
+            if self.row.note(row.version, member.state):
                 self.restore_state(member.state)
             return
         self.on_member(member.node, member.address)
-
-    # This node's row.
-
-    def request_write(self) -> None:
-        """Request a write of this node's row, without waiting for it."""
-        self._write_requested.set()
-
-    async def keep_row(self) -> None:
-        """Write this node's row whenever a write is requested, until cancelled."""
-        while True:
-            await self._write_requested.wait()
-            self._write_requested.clear()
-            pause = MIN_BACKOFF_SECONDS
-            while not await self.write_row():
-                await asyncio.sleep(pause)
-                pause = min(MAX_BACKOFF_SECONDS, 2 * pause)
-
-    def _is_written(self, state: TargetState) -> bool:
-        written = self._written_state
-        return written is not None and _select_fields(written) == _select_fields(state)
-
-    async def write_row(self) -> bool:
-        """Write this node's row if needed; return whether the stored row is current."""
-        async with self._lock:
-            if self._row_version is None:
-                return False
-            if self._row_era != self.store.era and not await self._read_row():
-                return False
-            state = self.get_state()
-            if self._is_written(state):
-                self._row_written.set()
-                return True
-            row = msgspec.json.encode(MemberRow(self.node, self.address, state))
-            put = ConditionalPut(SYSTEM_TABLE, self.key, row, self._row_version)
-            try:
-                self._row_version = await self.store.write([put])
-                self._row_era = get_era(self._row_version)
-            except (ConditionFailed, AnswerLost):
-                # The write may have taken effect. Only this node writes the row, so the
-                # stored version and state can be adopted.
-                await self._read_row()
-                return False
-            except CactusError:
-                return False
-            self._written_state = state
-            self._row_written.set()
-            return True
-
-    async def _read_row(self) -> bool:
-        """Read this node's row; return whether the store has answered."""
-        try:
-            page = await self.store.read_table(SYSTEM_TABLE, self.key)
-        except CactusError:
-            return False
-        self._row_era = get_era(page.version)
-        self._row_version = ABSENT
-        self._written_state = None
-        for row in page.rows:
-            if row.key == self.key:
-                self._row_version = row.version
-                member = decode_member(row)
-                self._written_state = member.state if member else None
-        return True
-
-    async def remove_row(self) -> None:
-        """Remove this node's row, because the node will not return."""
-        async with self._lock:
-            if self._row_era != self.store.era:
-                await self._read_row()
-            if not self._row_version:
-                return
-            try:
-                await self.store.write(
-                    [ConditionalPut(SYSTEM_TABLE, self.key, None, self._row_version)]
-                )
-            except CactusError as error:
-                log_line("row-not-removed", cause=str(error))
-
-
-def _select_fields(state: TargetState) -> tuple:
-    """Return the fields whose change requires a write: the identity and the leave."""
-    return (
-        state.name,
-        state.version,
-        state.slots,
-        state.start_time,
-        state.leave_acknowledged,
-    )
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -226,7 +226,7 @@
         "store/versions.py",
         "return (era << NUMBER_BITS) + number",
         "return number",
-        "in-force",
+        "reported",
         1,
         ("store-returns", "add-route"),
     ),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,8 +14,8 @@
 from cactusshed.errors import CactusError, Malformed, PlatformUnavailable
 from cactusshed.member.joiner import parse_seed
 from cactusshed.mesh.framing import FrameDecoder
+from cactusshed.mesh.memberrow import decode_member
 from cactusshed.mesh.moves import decode_move as decode_move_row
-from cactusshed.mesh.storesync import decode_member
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address, parse_address
 from cactusshed.platform.announcements import decode_announcement, read_start_time
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -211,7 +211,7 @@
     async def work():
         async with open_fleet("n1") as (fleet, (node,)):
             await wait_for(lambda: ("cactusshed", "member/n1") in fleet.store.rows)
-            await node.sidecar.store_sync.write_row()
+            await node.sidecar.own_row.write()
             await node.kill()
             fleet.store.fault = "busy"
             restarted = await fleet.restart(node)
@@ -234,7 +234,7 @@
         async with open_fleet("n1") as (fleet, (node,)):
             await wait_for(lambda: ("cactusshed", "member/n1") in fleet.store.rows)
             await wait_for(
-                lambda: node.sidecar.store_sync._is_written(
+                lambda: node.sidecar.own_row.is_written(
                     node.sidecar.announcements.state
                 )
             )
@@ -531,7 +531,7 @@
         async with open_fleet("n1") as (fleet, (node,)):
             assert_that(await node.send_rpc("instances.leave"), Equals(200))
             fleet.store.fault = "silent"
-            node.sidecar.store_sync.request_write()
+            node.sidecar.own_row.request_write()
             node.sidecar.announcements.set_state(slots=5)
             await asyncio.sleep(0.1)
             bounds = attrs.evolve(node.settings.bounds, grace=1.5)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -10,7 +10,7 @@
 
 from cactusshed.decoding import decode_json
 from cactusshed.errors import AnswerLost, ConditionFailed
-from cactusshed.mesh.storesync import MemberRow
+from cactusshed.mesh.memberrow import MemberRow
 from cactusshed.observe.counters import Counters
 from cactusshed.options import Address
 from cactusshed.platform import rows
