A new holder of the usage duty learns from the nodes which windows are fixed

The platform would have got reports without counts for windows already reported. After a return of the store, the row names an earlier first window; a holder whose process had restarted knew only the row, while all nodes had dropped the counts before the later one.

--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -90,12 +90,16 @@
         if version <= self.version:
             return False
         self.holder, self.version = holder, version
-        self.token = max(self.token, token)
-        self.first = max(self.first, first)
+        self.note_known(first, token)
         self.seen_at = now
         self.next_try = float("-inf")
         return True
 
+    def note_known(self, first: int, token: int) -> None:
+        """Record what another node knows, which may be more than the row holds."""
+        self.first = max(self.first, first)
+        self.token = max(self.token, token)
+
     def rest(self, now: float) -> None:
         """Leave the duty to other nodes for a while."""
         self.rests_until = now + 3 * self.times.lease
--- a/cactusshed/tool/history.py
+++ b/cactusshed/tool/history.py
@@ -24,6 +24,7 @@
         "peer-lost",
         "peer-silent",
         "started",
+        "store-era",
         "store-lost",
         "store-regained",
         "target-cold",
--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
-import msgspec
 
 from ..clock import read_monotonic
 from ..errors import AnswerLost, CactusError, ConditionFailed
@@ -169,9 +168,7 @@
             if not self.watch.may_take(version, now):
                 return
         row = row or DutyRow(self.node, self.start_time, 0)
-        # After a return of the store the row may be older than what nodes know of it.
         token = choose_next_token(max(row.token, self.watch.token))
-        row = msgspec.structs.replace(row, first=max(row.first, self.watch.first))
         self._is_weak = is_weak
         self.acknowledged.clear()
         self.unreachable_since = None
@@ -191,11 +188,13 @@
         `held_for` is the time for which this node has had the duty.
         """
         fixed = {w: c for w, c in row.fixed.items() if w not in self.acknowledged}
-        final = self._find_final(row, len(fixed), now, held_for)
-        return max(final) + 1 if final else row.first, {**fixed, **final}
+        # After a return of the store the row may be older than what nodes know of it.
+        known_first = max(row.first, self.watch.first)
+        final = self._find_final(known_first, len(fixed), now, held_for)
+        return max(final) + 1 if final else known_first, {**fixed, **final}
 
     def _find_final(
-        self, row: DutyRow, held: int, now: float, held_for: float
+        self, known_first: int, held: int, now: float, held_for: float
     ) -> dict[int, dict[str, int]]:
         """Return the counts of the windows that can be fixed by the next write."""
         if not self.clock.is_settled(now):
@@ -205,7 +204,7 @@
         current = int(true_time // seconds)
         own_start = int((self.clock.started_at + self.clock.get_offset()) // seconds)
         found = self.totals.find_first()
-        first = row.first or min(own_start, own_start if found is None else found)
+        first = known_first or min(own_start, own_start if found is None else found)
         awaited = [m.node for m in self.list_members() if self._is_awaited(m)]
         return find_final_windows(
             self.totals,
@@ -258,11 +257,7 @@
             log_line("duty-row-lost", row=version, known=self.lease.row_version)
             await self._write(self.row.first, self.row.fixed, self.row.token, version)
             return
-        is_own = row is not None and (row.holder, row.start_time) == (
-            self.node,
-            self.start_time,
-        )
-        if not is_own:
+        if not self._is_own(row):
             if row is not None:
                 now = self.read_boottime()
                 self.watch.note(row.holder, row.token, version, now, row.first)
@@ -279,14 +274,22 @@
     def _is_lost(self, row: DutyRow | None) -> bool:
         """Return whether the store has come back without this node's last write.
 
-        Once the lease has ended, another node's write may have been lost, too.
+        Once the lease has ended, another node's write may have been lost, too, unless
+        the row is an earlier one of this node.
         """
         lease = self.lease
         if lease is None or self.store.era == get_era(lease.row_version):
             return False
         if row is not None and (row == self._pending[0] or row.era == self.store.era):
             return False
-        return lease.is_live(self.read_boottime())
+        return self._is_own(row) or lease.is_live(self.read_boottime())
+
+    def _is_own(self, row: DutyRow | None) -> bool:
+        """Return whether this process has written a row."""
+        return row is not None and (row.holder, row.start_time) == (
+            self.node,
+            self.start_time,
+        )
 
     def _adopt(self, row: DutyRow, version: int, started: float | None) -> None:
         """Hold the lease of a row of this node, whose write began at `started`."""
--- a/cactusshed/usage/frames.py
+++ b/cactusshed/usage/frames.py
@@ -37,6 +37,10 @@
     time_ms: Count = 0
     """Time by the sender's own clock; 0 if the totals are those of another node."""
     wants_receipt: bool = False
+    first: Count = 0
+    """First window whose counts are not fixed, as far as the sender knows."""
+    token: Count = 0
+    """Highest token of a holder that the sender knows of."""
 
 
 class UsageReceipt(msgspec.Struct, array_like=True, tag=19):
--- a/cactusshed/usage/reporter.py
+++ b/cactusshed/usage/reporter.py
@@ -139,6 +139,7 @@
     def _merge(self, frame: UsageTotals) -> None:
         source = (frame.node, frame.start_time)
         self.totals.merge(source, frame.sequence, frame.windows)
+        self.duty.watch.note_known(frame.first, frame.token)
         if frame.until_ms:
             self.totals.note_complete(frame.node, frame.until_ms / 1000)
         now = self.read_boottime()
@@ -193,6 +194,8 @@
             {window: dict(counts) for window, counts in self.counter.windows.items()},
             max(0, int(until * 1000)),
             max(0, int(self.clock.get_own_time(now) * 1000)),
+            first=self.duty.watch.first,
+            token=self.duty.watch.token,
         )
 
     def _send_changes(self, member: Member, report: UsageTotals) -> None:
@@ -214,6 +217,8 @@
             windows,
             report.until_ms,
             report.time_ms,
+            first=report.first,
+            token=report.token,
         )
         if link.send(changes):
             self._sent[member.node] = (link, report.sequence)
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -672,6 +672,28 @@
     assert_that(fleet.find_missing(), Equals([]))
 
 
+@pytest.mark.parametrize("kept", [0.5, 4.0, 7.0])
+def test_holder_that_restarts_at_a_return_of_the_store_fixes_no_window_again(kept):
+    """The new process knew only the row, so it reported windows without any counts."""
+
+    async def scenario(fleet):
+        await asyncio.sleep(17.3)
+        copy = fleet.store.take_copy()
+        await asyncio.sleep(kept)
+        holder = await fleet.wait_holder()
+        fleet.kill(holder)
+        await asyncio.sleep(1.0)
+        fleet.start(holder)
+        fleet.store.return_to(copy)
+        await asyncio.sleep(35)
+
+    fleet = run_fleet(scenario)
+    assert_that(fleet.find_breaches(), Equals([]))
+    assert_that(fleet.overlaps[:3], Equals([]))
+    assert_that(fleet.find_missing(), Equals([]))
+    assert_that([w for w in fleet.find_wrong() if ": 0/" in w], Equals([]))
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_random_faults(seed):
     """Guards against breaches by faults that coincide, in an order nobody thought of.
