Nodes keep the counts of a window until the platform has acknowledged it

A window was not reported at all: its counts had been fixed in the duty's row, the store came back without that row, the holder ended, and the other nodes had dropped theirs when the row had them. Now the holder says which window is the first without an acknowledgement, nodes keep counts from there on, and a new holder starts there.

--- a/cactusshed/policy/usagelease.py
+++ b/cactusshed/policy/usagelease.py
@@ -75,7 +75,7 @@
     token: int = 0
     """Highest token seen; after a return of the store its row may have a lower one."""
     first: int = 0
-    """First window that is not fixed, as far as known."""
+    """First window that the platform has not acknowledged, as far as known."""
     version: int = 0
     seen_at: float | None = None
     """When the row's present version was first seen; `None` before that."""
@@ -96,7 +96,7 @@
         return True
 
     def note_known(self, first: int, token: int) -> None:
-        """Record what another node knows, which may be more than the row holds."""
+        """Record what a node knows, which may be more than the row holds."""
         self.first = max(self.first, first)
         self.token = max(self.token, token)
 
--- a/cactusshed/usage/duty.py
+++ b/cactusshed/usage/duty.py
@@ -160,10 +160,11 @@
         version, row = await read_duty(self.store)
         now = self.read_boottime()
         if version != ABSENT:
-            if self.watch.note(row.holder, row.token, version, now, row.first):
+            first = row.find_unreported()
+            if self.watch.note(row.holder, row.token, version, now, first):
                 # The holder may be well, but out of this node's reach; other nodes in
                 # the same place need not read the row.
-                self.broadcast(UsageHolder(row.holder, row.token, version, row.first))
+                self.broadcast(UsageHolder(row.holder, row.token, version, first))
                 return
             if not self.watch.may_take(version, now):
                 return
@@ -260,7 +261,8 @@
         if not self._is_own(row):
             if row is not None:
                 now = self.read_boottime()
-                self.watch.note(row.holder, row.token, version, now, row.first)
+                first = row.find_unreported()
+                self.watch.note(row.holder, row.token, version, now, first)
             self._lose_lease("overtaken")
             return
         pending, started = self._pending
@@ -302,8 +304,9 @@
         self.row = row
         self.acknowledged &= row.fixed.keys()
         now = self.read_boottime()
-        self.watch.note(self.node, row.token, version, now, row.first)
-        self.totals.drop_before(row.first)
+        first = row.find_unreported(self.acknowledged)
+        self.watch.note(self.node, row.token, version, now, first)
+        self.totals.drop_before(first)
         if before is None:
             self._acquired_at = now
             self.counters.add("duty_taken")
@@ -319,7 +322,7 @@
                 self.node,
                 self.row.token,
                 self.lease.row_version,
-                self.row.first,
+                self.row.find_unreported(self.acknowledged),
                 candidates[0] if candidates else "",
                 0 if fleet_time is None else int(fleet_time * 1000),
             )
--- a/cactusshed/usage/dutyrow.py
+++ b/cactusshed/usage/dutyrow.py
@@ -1,5 +1,7 @@
 """The duty's row in the store: its holder, and the fixed counts of windows."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from ..decoding import Count, decode_json
@@ -30,6 +32,14 @@
     era: Count = 0
     """The store's era in which the row was written."""
 
+    def find_unreported(self, acknowledged: Collection[int] = ()) -> int:
+        """Return the first window that the platform has not acknowledged.
+
+        `acknowledged` are those of `fixed` that it has acknowledged since the write.
+        """
+        waiting = (window for window in self.fixed if window not in acknowledged)
+        return min(waiting, default=self.first)
+
 
 async def read_duty(store: RowStore) -> tuple[int, DutyRow | None]:
     """Return the row's version and content; raise `Malformed` if it can't be read.
--- a/cactusshed/usage/frames.py
+++ b/cactusshed/usage/frames.py
@@ -15,7 +15,8 @@
     version: Count
     """Version of the row; the lease of a version ends a fixed time after its write."""
     first: Count
-    """First window whose counts are not fixed in the store."""
+    """First window that the platform has not acknowledged. Nodes keep its counts: the
+    store may come back without those that it had fixed."""
     standby: str = ""
     """Node that gets the counts too, in case the holder dies; unknown if empty."""
     time_ms: Count = 0
@@ -38,7 +39,7 @@
     """Time by the sender's own clock; 0 if the totals are those of another node."""
     wants_receipt: bool = False
     first: Count = 0
-    """First window whose counts are not fixed, as far as the sender knows."""
+    """First window that is not acknowledged, as far as the sender knows."""
     token: Count = 0
     """Highest token of a holder that the sender knows of."""
 
--- a/soak/usagechecks.py
+++ b/soak/usagechecks.py
@@ -32,6 +32,11 @@
     | {"api-busy"}
 )
 """Faults in which no node reaches the store, or the platform's API."""
+ENDING_KINDS = frozenset(
+    {"kill", "term", "stop-service", "stop-centre", "end-host", "store-restart"}
+    | {"holder-kill", "holder-term"}
+)
+"""Faults that end processes."""
 Check = Callable[[Observations], Iterator[str]]
 
 
@@ -119,7 +124,8 @@
     for window in range(usage.find_window(min(starts)), usage.find_window(end)):
         ended = usage.compute_start(window + 1)
         if window not in reported:
-            yield f"window {window} was not reported"
+            if not _may_be_lost(observations, window):
+                yield f"window {window} was not reported"
             continue
         late = reported[window] - ended - DUE_SECONDS
         is_cut = any(
@@ -136,6 +142,19 @@
             yield f"window {window} was reported {late:.2f} s too late"
 
 
+def _may_be_lost(observations: Observations, window: int) -> bool:
+    """Return whether the store lost a window's counts, and then a node that had them.
+
+    A return of the store loses the row; the counts of processes that had ended before
+    are then with the holder alone.
+    """
+    usage, faults = observations.fleet.usage, observations.injected_faults
+    started, due = usage.compute_start(window), usage.compute_start(window + 1)
+    due += DUE_SECONDS
+    kinds = {f.kind for f in faults if f.began <= due and started <= f.ended}
+    return "store-returns" in kinds and not ENDING_KINDS.isdisjoint(kinds)
+
+
 def _is_uncertain(observations: Observations, node: str, moment: float) -> bool:
     """Return whether a node's count of a run may be lost with it, or come too late."""
     usage = observations.fleet.usage
