Writes from an era that is numbered 0 are fenced as well

A store whose first era is 0 was taken for one that states none, so a write from before its first return could overwrite a later one. The test failed before.

--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -133,7 +133,7 @@
     async def _transact(
         self, expected: dict[RowName, int], values: dict[RowName, bytes | None]
     ) -> int:
-        known_era = self.era
+        known_era = self.eras.stated
         numbers = self.eras.list_conditions(expected)
         values = {**values, **self.eras.list_marks()}
         body = {
@@ -155,7 +155,7 @@
         if answer.status == 412:
             raise ConditionFailed("a row is at another version", step="write rows")
         fields = _decode(answer, "write rows")
-        if known_era not in (0, era):
+        if known_era not in (None, era):
             raise AnswerLost("the store has come back", step="write rows")
         self.eras.note_written(known_era)
         return make_version(era, read_int(fields, "ver", 0))
--- a/cactusshed/store/eras.py
+++ b/cactusshed/store/eras.py
@@ -30,7 +30,9 @@
         """Start without an answer of the store."""
         self._counters = counters
         self._has_answered = False
-        self._marked = 0
+        self._marked: int | None = None
+        self.stated: int | None = None
+        """The present era, `None` if the store states none."""
         self.current = 0
         """Highest era that the store has stated, 0 if it states none."""
 
@@ -42,12 +44,16 @@
             self._counters.add("store_returns")
             log_line("store-era", era=era, before=self.current)
         self.current = era
+        if self.stated is not None:
+            self.stated = era
 
     def note_answer(self, stated: int | None) -> int:
         """Return the era of an answer, which may be older than one already known."""
         era = self.current if stated is None else stated
         self.note(era)
         self._has_answered = True
+        if stated is not None:
+            self.stated = self.current
         return era
 
     def is_current(self, version: int) -> bool:
@@ -62,19 +68,19 @@
         if not all(map(self.is_current, versions.values())):
             raise ConditionFailed("the store has come back", step="write rows")
         numbers = {name: get_number(version) for name, version in versions.items()}
-        if self.current:
+        if self.stated is not None:
             numbers[_name_mark(self.current + 1)] = ABSENT
         return numbers
 
     def list_marks(self, *, is_forced: bool = False) -> dict[RowName, bytes]:
         """Return the row that a write has to add, if any."""
-        if self._marked == self.current and not is_forced:
+        if self._marked == self.stated and not is_forced:
             return {}
         return {_name_mark(self.current): b"{}"}
 
-    def note_written(self, era: int) -> None:
-        """Record that a write has taken effect in `era`."""
-        self._marked = era
+    def note_written(self, stated: int | None) -> None:
+        """Record that a write has taken effect that added the marks of an era."""
+        self._marked = stated
 
 
 def _name_mark(era: int) -> RowName:
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -326,6 +326,25 @@
     assert_that(run_async(work), Equals(b"3"))
 
 
+def test_write_from_the_era_0_is_refused():
+    """A store may count its eras from 0, which is not the same as stating none."""
+
+    async def work():
+        async with open_store() as (app, store, other):
+            app.era = 0
+            first = await store.write([ConditionalPut("t", "k", b"1", ABSENT)])
+            copy = app.take_copy()
+            second = await store.write([ConditionalPut("t", "k", b"2", first)])
+            app.return_to(copy)
+            page = await other.read_table("t")
+            await other.write([ConditionalPut("t", "k", b"3", page.rows[0].version)])
+            with pytest.raises(ConditionFailed):
+                await store.write([ConditionalPut("t", "k", b"4", second)])
+            return app.rows["t", "k"][0]
+
+    assert_that(run_async(work), Equals(b"3"))
+
+
 def test_feed_of_an_earlier_era_is_not_continued():
     """The same version stands for other changes once the store has come back."""
 
