A poll compares the head with the version known before it was read

A change accepted while the head was being read looked like one that the platform had lost, and was logged as not restored; nothing was written. Found by reading the change.

--- a/cactusshed/mesh/movecontroller.py
+++ b/cactusshed/mesh/movecontroller.py
@@ -276,12 +276,12 @@
 
     async def _reload_row(self, tracked: TrackedMove) -> None:
         version, stored = await read_move(self.store, tracked.move.service)
-        # The time of a row that is known runs since it was received.
         tracked.version = version
         if stored is not None and tracked.is_older_than(stored, version):
             if tracked.move.state != REVERTED or stored.has_ended:
                 tracked.move = stored
                 tracked.note_row(version)
+            # The time of a row that is known runs since it was received.
             tracked.updated_at = read_monotonic()
         self.moves.apply_to_gate()
 
--- a/cactusshed/spread/poller.py
+++ b/cactusshed/spread/poller.py
@@ -97,13 +97,14 @@
     async def poll(self) -> None:
         """Read the head and, if it is newer, fetch and activate its version."""
         requested_at = self.current.clock()
+        known_number = self.current.number
         try:
             head = await load_head(self.port)
             if head.number > self.current.number:
                 tree, changes = await load_tree_at(self.port, self.current.tree, head)
                 if tree.number > self.current.number:
                     self.current.swap(tree, changes)
-            if head.number < self.current.number:
+            if head.number < known_number:
                 await self._restore_changes(head)
             if head.number <= self.current.number:
                 self.current.confirm(requested_at)
