A long or unusual field of a document keeps no version out of force

Cause: `read_text` refused texts above 200 characters, the store's limit on keys, and one refused field refused the whole document. The same held for characters that Python does not call printable, numbers above 2^53, durations above 10^9 s and optional fields of another type; in heartbeats and move orders too.

A health path is sent percent-encoded. `documents_not_in_force` shows a document that a node can't read. Heartbeats, boot settings and member rows lose the limit on length.

--- a/cactusshed/fields.py
+++ b/cactusshed/fields.py
@@ -15,13 +15,12 @@
     "read_int",
     "read_list",
     "read_number",
+    "read_printable",
     "read_seconds",
     "read_table",
     "read_text",
 ]
 
-MAX_TEXT_CHARS = 200
-"""Longest key that the store accepts."""
 MAX_SECONDS = 1e9
 """Longest duration; far longer ones exceed the range of timers."""
 
@@ -41,18 +40,18 @@
     return value
 
 
-def _check_range(field: str, value: float, highest: float) -> None:
+def _limit_range(field: str, value: Any, highest: Any, is_capped: bool) -> Any:
+    if is_capped and value > highest:
+        return highest
     if not 0 <= value <= highest:
         raise Malformed(f"{field}: not from 0 to {highest:g}", step="read field")
+    return value
 
 
 def check_text(field: str, text: str) -> str:
-    """Return a text that can stand in a key and in a header; raise `Malformed`."""
-    if not text or len(text) > MAX_TEXT_CHARS:
-        raise Malformed(
-            f"{field}: length {len(text)} is not 1 to {MAX_TEXT_CHARS}",
-            step="read field",
-        )
+    """Return a text that can stand in a header; raise `Malformed`."""
+    if not text:
+        raise Malformed(f"{field}: empty", step="read field")
     if not text.isprintable():
         raise Malformed(f"{field}: control characters", step="read field")
     return text
@@ -70,17 +69,32 @@
 
 
 def read_text(source: Any, field: str, default: str | None = None) -> str:
-    """Return a printable text of 1 to `MAX_TEXT_CHARS` characters."""
+    """Return a text of at least one character; it may hold any characters."""
+    text = _read_field(source, field, str, default)
+    if not text:
+        raise Malformed(f"{field}: empty", step="read field")
+    return text
+
+
+def read_printable(source: Any, field: str, default: str | None = None) -> str:
+    """Return a text that can stand in a header."""
     return check_text(field, _read_field(source, field, str, default))
 
 
 def read_int(
-    source: Any, field: str, default: int | None = None, highest: int = MAX_COUNT
+    source: Any,
+    field: str,
+    default: int | None = None,
+    highest: int = MAX_COUNT,
+    *,
+    is_capped: bool = False,
 ) -> int:
-    """Return an integer from 0 to `highest`."""
+    """Return an integer from 0 to `highest`.
+
+    Higher ones raise `Malformed`, or are read as `highest` if `is_capped`.
+    """
     value = _read_field(source, field, int, default)
-    _check_range(field, value, highest)
-    return value
+    return _limit_range(field, value, highest, is_capped)
 
 
 def read_flag(source: Any, field: str, default: bool | None = None) -> bool:
@@ -88,15 +102,29 @@
     return _read_field(source, field, bool, default)
 
 
-def read_number(source: Any, field: str, default: float | None = None) -> float:
-    """Return a number from 0 to `MAX_COUNT`."""
+def read_number(
+    source: Any,
+    field: str,
+    default: float | None = None,
+    *,
+    is_capped: bool = False,
+) -> float:
+    """Return a number from 0 to `MAX_COUNT`; for `is_capped` see `read_int`."""
     value = _read_field(source, field, (int, float), default)
-    _check_range(field, value, MAX_COUNT)
-    return float(value)
+    return float(_limit_range(field, value, MAX_COUNT, is_capped))
+
 
+def read_seconds(
+    source: Any,
+    field: str,
+    default: str | None = None,
+    *,
+    is_capped: bool = False,
+) -> float:
+    """Return the seconds of a duration such as `1500ms` or `2.5s`; none is below 0.
 
-def read_seconds(source: Any, field: str, default: str | None = None) -> float:
-    """Return the seconds of a duration such as `1500ms` or `2.5s`; none is below 0."""
+    Durations above `MAX_SECONDS` are handled as in `read_int`.
+    """
     text = _read_field(source, field, str, default)
     for unit, factor in (("ms", 1e-3), ("s", 1.0)):
         number = text.removesuffix(unit)
@@ -105,8 +133,7 @@
                 seconds = max(float(number) * factor, 0.0)
             except ValueError:
                 break
-            _check_range(field, seconds, MAX_SECONDS)
-            return seconds
+            return _limit_range(field, seconds, MAX_SECONDS, is_capped)
     raise Malformed(f"{field}: {text[:40]!r} is not a duration", step="read field")
 
 
--- a/cactusshed/mesh/probes.py
+++ b/cactusshed/mesh/probes.py
@@ -57,6 +57,7 @@
         learned = gate.exchange.concurrency
         return [
             ("version", node.records.table.version),
+            ("documents_not_in_force", node.records.count_refused()),
             ("store_answer_age_seconds", now - node.relay.last_store_answer),
             ("store_era", node.store.era),
             ("store_revision", node.records.revision),
--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -141,13 +141,31 @@
         for row in rows:
             try:
                 self._apply_row(row)
+                self._refused_versions.pop(row.key, None)
             except Malformed as error:
-                self.counters.add("documents_refused")
-                if self._refused_versions.get(row.key) != row.version:
-                    self._refused_versions[row.key] = row.version
-                    log_line("document-refused", key=row.key, cause=str(error))
+                self._note_refused(row, error)
         self.on_change()
 
+    def _note_refused(self, row: StoredRow, error: Malformed) -> None:
+        self.counters.add("documents_refused")
+        if self._refused_versions.get(row.key) == row.version:
+            return
+        self._refused_versions[row.key] = row.version
+        log_line(
+            "document-refused",
+            key=row.key,
+            row=row.version,
+            cause=str(error),
+            in_force=self.table.version,
+        )
+
+    def count_refused(self) -> int:
+        """Return the number of the operator's rows that this node can't read.
+
+        What they said before is still in force.
+        """
+        return len(self._refused_versions)
+
     def _apply_row(self, row: StoredRow) -> None:
         if row.key == CONFIG_KEY and not row.is_deleted:
             self._apply_table(decode_table(row.value), row.version)
@@ -182,6 +200,7 @@
         self.counters.add("configurations_applied")
         self._history.append((self.table.version, keys, tenants))
         self.table = table
+        self._refused_versions.pop(CONFIG_KEY, None)
 
     def _apply_evacuation(self, row: StoredRow) -> None:
         data_centre = row.key.removeprefix(EVACUATION_PREFIX)
--- a/cactusshed/mesh/targetclient.py
+++ b/cactusshed/mesh/targetclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from urllib.parse import quote
 
 from ..clock import read_monotonic
 from ..errors import CactusError
@@ -24,6 +25,8 @@
 
 MAX_CONNECTIONS_TRIED = 3
 """Connections tried for one call; a reused one may turn out to be closed."""
+PATH_CHARS = "!#$%&'()*+,/:;=?@[]~"
+"""Characters of a health path that are sent as they are, besides letters and digits."""
 HEALTH_TIMEOUT_SECONDS = 0.5
 """Timeout of a health request, which may wait for a slot like any other request."""
 # The first node adds the attempt id again, and `Result` already reports the load.
@@ -71,7 +74,7 @@
     """Return the target's answer to a health request; raise `CactusError`."""
     upstream = await pool.acquire(requires_fresh=True)
     data = b"GET %s HTTP/1.1\r\nhost: %s\r\n\r\n" % (
-        path.encode(),
+        quote(path, safe=PATH_CHARS).encode(),
         str(pool.address).encode(),
     )
     try:
--- a/cactusshed/platform/announcements.py
+++ b/cactusshed/platform/announcements.py
@@ -5,7 +5,7 @@
 from ..clock import read_wall
 from ..decoding import decode_json
 from ..errors import Malformed
-from ..fields import check_text, read_address, read_int, read_seconds, read_text
+from ..fields import check_text, read_address, read_int, read_printable, read_seconds
 
 __all__ = ["Announcement", "decode_announcement", "read_start_time", "read_call"]
 
@@ -53,13 +53,13 @@
 def decode_announcement(name: str, body: bytes) -> Announcement:
     """Parse the body of a heartbeat; raise `Malformed` if it is invalid."""
     fields = decode_json(body, step="read announcement", peer=name)
-    state = read_text(fields, "state")
+    state = read_printable(fields, "state")
     if state not in ("ready", "draining"):
         raise Malformed(f"state: {state[:40]!r}", step="read announcement", peer=name)
     return Announcement(
         name=check_text("of", name),
-        service=read_text(fields, "service"),
-        version=read_text(fields, "version"),
+        service=read_printable(fields, "service"),
+        version=read_printable(fields, "version"),
         address=str(read_address(fields, "address")),
         slots=max(1, read_int(fields, "slots", highest=MAX_SLOTS)),
         is_leaving=state == "draining",
--- a/cactusshed/platform/boot.py
+++ b/cactusshed/platform/boot.py
@@ -12,9 +12,9 @@
     read_int,
     read_list,
     read_number,
+    read_printable,
     read_seconds,
     read_table,
-    read_text,
 )
 from ..learnedlimits import LearnedLimits, read_learned_limits
 from ..nodesettings import Bounds, Settings, UsageSettings
@@ -74,10 +74,10 @@
 
 
 _FIELDS = (
-    _Field("node", "", "node", read_text),
-    _Field("data_centre", "", "zone", read_text),
-    _Field("region", "", "region", read_text, ""),
-    _Field("service", "", "service", read_text),
+    _Field("node", "", "node", read_printable),
+    _Field("data_centre", "", "zone", read_printable),
+    _Field("region", "", "region", read_printable, ""),
+    _Field("service", "", "service", read_printable),
     _Field("callers", "listen", "outbound", read_address),
     _Field("peers", "listen", "inbound", read_address),
     _Field("probes", "listen", "ready", read_address),
