Log the strikes of requests that were in flight when their target crashed

Nothing in the log of a node beside a target said which requests had got strikes, how many, and whether another request was in flight. `count_live` shows what a refusal is based on.

--- a/cactusshed/mesh/crashes.py
+++ b/cactusshed/mesh/crashes.py
@@ -5,6 +5,7 @@
 import attrs
 import xxhash
 
+from ..observe.lines import log_line
 from ..policy.quarantine import Quarantine
 from .frames import Call, Strike
 
@@ -94,14 +95,21 @@
         ]
         self._failed.clear()
         was_sole_request = len(failed) == 1 and failed[0][2]
+        calls = {make_fingerprint(entry[1]): entry[1] for entry in failed}
         strikes = [
             Strike(fingerprint, random.randbytes(STRIKE_ID_BYTES), was_sole_request)
-            for fingerprint in dict.fromkeys(
-                make_fingerprint(entry[1]) for entry in failed
-            )
+            for fingerprint in calls
         ]
         for strike in strikes:
             self.add_strike(strike, now)
+            call = calls[strike.fingerprint]
+            log_line(
+                "strike",
+                request=call.request_id,
+                route=call.route,
+                alone=was_sole_request,
+                strikes=self.quarantine.count_live(strike.fingerprint, now),
+            )
         return strikes
 
     def add_strike(self, strike: Strike, now: float) -> bool:
--- a/cactusshed/policy/quarantine.py
+++ b/cactusshed/policy/quarantine.py
@@ -76,6 +76,11 @@
         for strike_id in strikes:
             strikes[strike_id] = _Strike(float("-inf"), False)
 
+    def count_live(self, fingerprint: bytes, now: float) -> int:
+        """Return the number of strikes that count."""
+        strikes = self._strikes.get(fingerprint, {}).values()
+        return sum(now - strike.recorded_at <= EXPIRE_SECONDS for strike in strikes)
+
     def evaluate(self, fingerprint: bytes, now: float) -> Restrictions:
         """Return the restrictions on requests with this fingerprint."""
         strikes = self._strikes.get(fingerprint, {})
