A request is refused only after it crashed a target while no other suspect ran

Cause: three strikes refused a request, whatever was in flight beside it. Both a node and a client repeat a request at once, so three targets can crash before any strike is known; a mass kill does the same. Suspected requests never ran alone in `mesh/`, an answer cleared them at one node only, and after the third strike nothing could clear them.

Change: from two strikes on a request runs at one target, chosen alike by all nodes, while no other suspected request runs there, and is not repeated elsewhere. An answer clears it at all nodes. A crash refuses it for 15 s, then 300 s, then an hour, at the gate and at the node that receives it.

`test_one_crash_is_one_strike_for_identical_requests` reads the renamed field; its condition is the same.

--- a/cactusshed/emulator/fleet.py
+++ b/cactusshed/emulator/fleet.py
@@ -10,7 +10,7 @@
 from ..clock import read_monotonic
 from ..mesh.callers import CallerHandler
 from ..mesh.candidates import Candidates
-from ..mesh.crashes import CrashTracker
+from ..mesh.crashes import STRIKES_TO_SUSPECT, CrashTracker
 from ..mesh.dispatch import Dispatcher
 from ..mesh.frames import Call, Result, TargetState
 from ..mesh.gate import Gate
@@ -149,7 +149,7 @@
         self, service: Service, centre: str, index: int, gate_count: int
     ) -> Node:
         name = f"{service.name}-{centre}-{index}"
-        quarantine = Quarantine()
+        quarantine = Quarantine(STRIKES_TO_SUSPECT)
         # `send_call` needs the node, which is created after the target.
         created: list[Node] = []
 
@@ -184,7 +184,6 @@
             retry_budget=GateRetryBudget(
                 load.retry_ratio, load.retry_window, load.retry_slack
             ),
-            quarantine=quarantine,
             crash_tracker=CrashTracker(quarantine),
             tallies=TallyRecorder(),
             service=service.name,
--- a/cactusshed/mesh/callplan.py
+++ b/cactusshed/mesh/callplan.py
@@ -56,5 +56,7 @@
     failure: Result | None = None
     last: str = ""
     version: str = ""
+    is_suspected: bool = False
+    """Whether the next attempt must be the only one of its request in the mesh."""
     silent: SilentAttempts = attrs.Factory(SilentAttempts)
     """Attempts at targets that have not answered so far."""
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -10,9 +10,11 @@
 from ..observe.counters import Counters
 from ..observe.lines import log_line
 from ..policy.placement import Candidate, LoadView, order_candidates
+from ..policy.quarantine import choose_target
 from ..policy.uplink import AnswerSizes
 from .callplan import CallPlan, DispatchState, Outcome
 from .candidates import Candidates, store_report
+from .crashes import make_fingerprint
 from .exchange import TARGET_SILENT, is_success
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Result
 from .gate import Gate
@@ -38,6 +40,7 @@
 """Fraction of the route's baseline latency that must remain before the deadline for
 a retry to be sent."""
 _VERSION_MISMATCH = frozenset({"version-closed", "other-version"})
+_QUARANTINED = frozenset({"quarantined", "suspected"})
 _TARGET_BUSY = "target-busy"
 _NO_CAPACITY = frozenset({"no-room", "no-time", "over-budget", "link-busy"})
 
@@ -70,6 +73,9 @@
 
     async def _try_targets(self, plan: CallPlan, state: DispatchState) -> Result:
         for _ in range(MAX_ATTEMPTS):
+            refusal = self._check_quarantine(plan.call, state)
+            if refusal is not None:
+                return state.failure or refusal
             choice = (
                 None if _has_exhausted_capacity(state) else self._choose(plan, state)
             )
@@ -83,6 +89,20 @@
                 return result
         return self._make_failure(plan, state)
 
+    def _check_quarantine(self, call: Call, state: DispatchState) -> Result | None:
+        """Refuse a crash request at once; mark a suspected one to run alone."""
+        restrictions = self.gate.crash_tracker.restrict(call, read_monotonic())
+        if restrictions is None:
+            return None
+        state.is_suspected = restrictions.alone
+        if not restrictions.refuse:
+            return None
+        self.counters.add("refused_quarantined")
+        retry_after_ms = int(restrictions.seconds * 1000)
+        return Result(
+            0, NOT_RUN, EMPTY_LOAD, code="quarantined", retry_after_ms=retry_after_ms
+        )
+
     def _fall_back(self, plan: CallPlan, state: DispatchState) -> bool:
         """Switch to the old version of a move; return whether that is allowed."""
         fallback = plan.get_fallback_version(state.version)
@@ -117,8 +137,11 @@
                 len(plan.call.body),
                 self.answer_sizes.get_bulk_bytes(plan.call.route),
             )
-            if candidate.name not in state.tried
         }
+        if state.is_suspected and members:
+            name = choose_target(make_fingerprint(plan.call), members)
+            members = {name: members[name]}
+        members = {name: m for name, m in members.items() if name not in state.tried}
         remaining = plan.soft_deadline - now
         if remaining <= 0 or plan.call.is_nested:
             remaining = plan.deadline - now
@@ -152,7 +175,9 @@
         call.is_retry = state.arrivals > 0
         call.may_have_run = state.failure is not None
         call.reports_silence = (
-            call.is_idempotent and state.arrivals + 1 < plan.max_attempts
+            call.is_idempotent
+            and state.arrivals + 1 < plan.max_attempts
+            and not state.is_suspected
         )
         state.last = candidate.name
         view = candidate.view
@@ -204,6 +229,8 @@
             if is_full and not _is_tried_beside(state):
                 state.full_gates += 1
             self._record_refusal(plan, state, result)
+            if result.code in _QUARANTINED:
+                return True
             return state.arrivals >= plan.max_attempts
         state.arrivals += 1
         state.tried.add(state.last)
@@ -213,6 +240,9 @@
             state.failure = result
         if not plan.call.is_idempotent or state.arrivals >= plan.max_attempts:
             return True
+        if state.is_suspected:
+            # Whether the target has crashed is known only later.
+            return True
         remaining = plan.deadline - read_monotonic()
         baseline_latency = self.baseline_latency.get(plan.call.route, 0.0)
         if remaining <= MIN_RETRY_FRACTION * baseline_latency:
--- a/cactusshed/mesh/exchange.py
+++ b/cactusshed/mesh/exchange.py
@@ -12,10 +12,9 @@
 from ..platform import headers as header_names
 from ..policy.coldstart import ColdStartGuard
 from ..policy.concurrency import ConcurrencyLimit
-from ..policy.quarantine import Quarantine
 from ..policy.silence import SentRequest, SilenceDetector
 from ..policy.tickets import Ticket
-from .crashes import CrashTracker, RunningCall, make_fingerprint
+from .crashes import CrashTracker, RunningCall
 from .frames import ANSWERED, NOT_RUN, UNKNOWN, Call, Load, Result
 from .notices import TargetNotices
 from .pool import ConnectionPool
@@ -71,7 +70,6 @@
 
     pool: ConnectionPool
     counters: Counters
-    quarantine: Quarantine
     crash_tracker: CrashTracker
     tallies: TallyRecorder
     cold: ColdStartGuard
@@ -120,7 +118,9 @@
         started = read_monotonic()
         deadline = ticket.deadline
         limit = deadline - started + ANSWER_GRACE_SECONDS
-        running = self.crash_tracker.begin(call, ticket.soft_deadline, started)
+        running = self.crash_tracker.begin(
+            call, ticket.soft_deadline, started, is_suspected=ticket.is_suspected
+        )
         upstream: Upstream | None = None
         answer: Answer | None = None
         report = on_silent and self._make_report(call, deadline, started, on_silent)
@@ -257,8 +257,8 @@
         if is_success and answer.find(header_names.SEAL) is None:
             self.counters.add("answers_unsealed")
             return self._make_unknown(call, "answer-unsealed")
-        if not failed and not self.quarantine.is_empty():
-            self.quarantine.clear(make_fingerprint(call))
+        if not failed or is_error:
+            self.crash_tracker.clear(call)
         return Result(
             call.number,
             ANSWERED,
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -247,12 +247,15 @@
 class Strike(msgspec.Struct, array_like=True, tag=9):
     """Reports that a target crashed while a request of this fingerprint was in flight.
 
-    `was_sole_request` says that no other request was in flight.
+    `ran_alone` says that it was the only suspected request in flight.
     """
 
     fingerprint: bytes
     strike_id: bytes
-    was_sole_request: bool
+    ran_alone: bool
+    is_cleared: bool = False
+    """Whether a request of this fingerprint has been answered since. Earlier builds
+    ignore it for strikes that they know."""
 
 
 class VersionTallies(msgspec.Struct, array_like=True, tag=10):
--- a/cactusshed/mesh/gate.py
+++ b/cactusshed/mesh/gate.py
@@ -16,11 +16,10 @@
 from ..policy.backpressure import RouteBackpressure
 from ..policy.coldstart import ColdStartGuard, TokenBucket
 from ..policy.gateretries import GateRetryBudget
-from ..policy.quarantine import Quarantine
 from ..policy.startlimits import StartLimit, StartLimits, combine_buckets
-from ..policy.tickets import Ticket, TicketState
+from ..policy.tickets import Refusal, Ticket, TicketState
 from ..policy.uplink import Uplink
-from .crashes import CrashTracker, make_fingerprint
+from .crashes import CrashTracker
 from .exchange import MIN_FAILURE_STATUS, OnSilent, TargetExchange
 from .frames import ANSWERED, Call, Load, Result
 from .notices import TargetNotices
@@ -46,7 +45,6 @@
     pool: ConnectionPool
     counters: Counters
     retry_budget: GateRetryBudget
-    quarantine: Quarantine
     crash_tracker: CrashTracker
     tallies: TallyRecorder
     service: str
@@ -79,7 +77,6 @@
         self.exchange = TargetExchange(
             self.pool,
             self.counters,
-            self.quarantine,
             self.crash_tracker,
             self.tallies,
             self.cold,
@@ -288,9 +285,9 @@
             if ticket.state != TicketState.RUNNING:
                 refusal = ticket.refusal
                 return self._refuse(call, refusal.code, refusal.retry_after)
-            code = self._run_final_checks(call)
-            if code:
-                return self._refuse(call, code)
+            refusal = self._run_final_checks(call, ticket)
+            if refusal:
+                return self._refuse(call, refusal.code, refusal.retry_after)
             result, answer = await self.exchange.send(call, ticket, on_silent)
             return result
         finally:
@@ -317,36 +314,42 @@
             finally:
                 self._waiting.pop(ticket, None)
 
-    def _is_quarantined(self, call: Call, now: float) -> bool:
-        """Return whether a call is a confirmed crash request.
-
-        While there are no strikes, calls are not hashed.
-        """
-        if self.quarantine.is_empty():
-            return False
-        return self.quarantine.evaluate(make_fingerprint(call), now).refuse
-
-    def _run_final_checks(self, call: Call) -> str:
-        """Run the final checks before the call is sent; return a refusal code or ''."""
+    def _check_quarantine(
+        self, call: Call, ticket: Ticket, now: float
+    ) -> Refusal | None:
+        """Refuse a crash request; mark a suspected one, which runs without others."""
+        restrictions = self.crash_tracker.restrict(call, now)
+        if restrictions is None:
+            return None
+        if restrictions.refuse:
+            return Refusal("quarantined", restrictions.seconds)
+        if restrictions.alone and self.crash_tracker.is_testing():
+            return Refusal("suspected", self.queue.get_service_time(call.route))
+        ticket.is_suspected = restrictions.alone
+        return None
+
+    def _run_final_checks(self, call: Call, ticket: Ticket) -> Refusal | None:
+        """Run the final checks before the call is sent; return why it is refused."""
         now = read_monotonic()
-        refusal = self._check(call)
-        if refusal:
+        code = self._check(call)
+        if code:
+            return Refusal(code)
+        refusal = self._check_quarantine(call, ticket, now)
+        if refusal is not None:
             return refusal
-        if self._is_quarantined(call, now):
-            return "quarantined"
         if not call.is_idempotent and not self.outcomes.dispatch(call):
-            return "fenced"
+            return Refusal("fenced")
         if not call.is_retry:
             self.retry_budget.note_first_attempt(
                 now, parent_is_retry=call.parent_is_retry
             )
-            return ""
+            return None
         gates = self.count_gates()
         if not self.retry_budget.take(
             gates, now, may_have_run=call.may_have_run, priority=call.priority
         ):
-            return "over-budget"
-        return ""
+            return Refusal("over-budget")
+        return None
 
     def suspect_restart(self, *, is_down: bool) -> None:
         """Treat the target as cold, and closed if it is down, until it is checked."""
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -38,7 +38,7 @@
 from .bodyparts import BodyAssembler
 from .callers import CallerHandler
 from .candidates import Candidates
-from .crashes import CrashTracker
+from .crashes import STRIKES_TO_SUSPECT, CrashTracker
 from .dispatch import Dispatcher
 from .frames import Frame, Hello, StateUpdate, Strike, TargetState
 from .gate import Gate
@@ -93,8 +93,9 @@
         self.histograms = Histograms()
         self.tenant_counts = TenantCounts()
         self.planned_stop = PlannedStop()
-        self.quarantine = Quarantine()
-        self.crash_tracker = CrashTracker(self.quarantine)
+        self.crash_tracker = CrashTracker(
+            Quarantine(STRIKES_TO_SUSPECT), self._publish_cleared
+        )
         self.records = Records(
             self.counters, self._apply_records, lambda base: self.relay.publish(base)
         )
@@ -125,7 +126,6 @@
             retry_budget=GateRetryBudget(
                 bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
             ),
-            quarantine=self.quarantine,
             crash_tracker=self.crash_tracker,
             tallies=TallyRecorder(),
             service=settings.service,
@@ -226,6 +226,11 @@
             self.counters.add("strikes")
             self.peers.broadcast(strike)
 
+    def _publish_cleared(self, strikes: list[Strike]) -> None:
+        self.counters.add("strikes_cleared", len(strikes))
+        for strike in strikes:
+            self.peers.broadcast(strike)
+
     def _handle_frame(self, link: Link, frame: Frame) -> None:
         self.peers.handle(link, frame)
 
--- a/cactusshed/policy/quarantine.py
+++ b/cactusshed/policy/quarantine.py
@@ -1,96 +1,142 @@
 """Quarantine of requests that crash their targets.
 
-A strike is the report that a target crashed while a request was in flight.
+Load pattern: a request crashes each target that begins to run it and comes again at any
+node, among many harmless requests that are in flight at the same crashes. A strike is
+the report that a target crashed while a request was in flight. Strikes alone refuse
+nothing: a request with several runs alone, and only a crash meanwhile, or an answer,
+shows what it does.
 """
 
+from collections.abc import Iterable
+
 import attrs
+import xxhash
 
-__all__ = ["Quarantine", "Restrictions"]
+__all__ = ["Quarantine", "Restrictions", "Strike", "choose_target"]
 
 EXPIRE_SECONDS = 300.0
 """Time after which a strike no longer counts."""
-STRIKES_TO_REFUSE = 2
-"""Strikes that confirm a crash request if it ran alone in at least one crash."""
-STRIKES_TO_CONFIRM = 3
-"""Strikes that confirm a crash request even if others were in flight each time: a
-harmless request is unlikely to be in flight at three crashes without ever being
-answered in between."""
+EXPIRE_ALONE_SECONDS = 3600.0
+"""The same for a strike of a request that ran alone."""
+REFUSE_SECONDS = (15.0, 300.0, EXPIRE_ALONE_SECONDS)
+"""Time for which a request is refused after one, two and more crashes at which it ran
+alone. The target may have crashed for another reason, or the fault may be mended."""
 MAX_FINGERPRINTS = 4_096
 """Fingerprints tracked at once; the oldest is dropped beyond that."""
+MAX_STRIKES = 16
+"""Strikes tracked per fingerprint."""
+CLEARED = float("-inf")
+"""Time of a strike that no longer counts since the request was answered."""
 
 
 @attrs.frozen
 class Restrictions:
     """Restrictions on a request.
 
-    An `alone` request runs without other calls and not on a service's last
-    target; `refuse` rejects it.
+    In `serve`, an `alone` request runs without other calls and not on a service's last
+    target; in `mesh`, without other restricted requests, at one target at a time.
+    `refuse` rejects it, for another `seconds`.
     """
 
     alone: bool
     refuse: bool
+    seconds: float = 0.0
 
 
 UNRESTRICTED = Restrictions(alone=False, refuse=False)
 
 
 @attrs.frozen
-class _Strike:
-    """Time of a crash with a request in flight, and whether it ran alone."""
+class Strike:
+    """Time of a crash with a request in flight, and whether the request ran alone."""
 
     recorded_at: float
     alone: bool
 
+    @property
+    def is_cleared(self) -> bool:
+        """Return whether the request has been answered since."""
+        return self.recorded_at == CLEARED
+
+    def is_live(self, now: float) -> bool:
+        """Return whether the strike still counts."""
+        limit = EXPIRE_ALONE_SECONDS if self.alone else EXPIRE_SECONDS
+        return now - self.recorded_at <= limit
+
 
 class Quarantine:
     """Strikes by request fingerprint; each strike has an id and expires.
 
-    A suspected crash request, one with a strike, runs alone. If its target crashes
-    again, the request is confirmed as the cause and refused; if it is answered,
-    it is cleared.
+    A suspected request, one with `strikes_to_suspect` strikes, runs alone. If its
+    target crashes again it is refused for a time; if it is answered, it is cleared.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, strikes_to_suspect: int = 1) -> None:
         """Start without strikes."""
-        self._strikes: dict[bytes, dict[bytes, _Strike]] = {}
+        self._strikes_to_suspect = strikes_to_suspect
+        self._strikes: dict[bytes, dict[bytes, Strike]] = {}
 
     def add_strike(
         self, fingerprint: bytes, strike_id: bytes, recorded_at: float, alone: bool
     ) -> bool:
         """Add a strike; return whether it was new."""
-        if len(self._strikes) >= MAX_FINGERPRINTS and fingerprint not in self._strikes:
-            self._strikes.pop(next(iter(self._strikes)))
-        strikes = self._strikes.setdefault(fingerprint, {})
+        strikes = self._strikes.pop(fingerprint, {})
+        # The fingerprints struck last come last, and are dropped last.
+        self._strikes[fingerprint] = strikes
+        if len(self._strikes) > MAX_FINGERPRINTS:
+            del self._strikes[next(iter(self._strikes))]
         if strike_id in strikes:
             return False
-        strikes[strike_id] = _Strike(recorded_at, alone)
+        if len(strikes) >= MAX_STRIKES:
+            del strikes[next(iter(strikes))]
+        strikes[strike_id] = Strike(recorded_at, alone)
         return True
 
-    def clear(self, fingerprint: bytes) -> None:
-        """Clear a request that was answered: its strikes no longer count.
+    def clear_strike(self, fingerprint: bytes, strike_id: bytes) -> None:
+        """Clear one strike, also if it has not arrived yet."""
+        self.add_strike(fingerprint, strike_id, CLEARED, False)
+        self._strikes[fingerprint][strike_id] = Strike(CLEARED, False)
+
+    def clear(self, fingerprint: bytes) -> list[bytes]:
+        """Clear a request that was answered; return the ids of its strikes.
 
-        The ids of the strikes are kept, so that a delayed duplicate of a strike is
-        not counted as new.
+        The ids are kept, so that a delayed duplicate of a strike is not counted as new.
         """
         strikes = self._strikes.get(fingerprint, {})
-        for strike_id in strikes:
-            strikes[strike_id] = _Strike(float("-inf"), False)
+        cleared = [key for key, strike in strikes.items() if not strike.is_cleared]
+        for strike_id in cleared:
+            strikes[strike_id] = Strike(CLEARED, False)
+        return cleared
 
     def count_live(self, fingerprint: bytes, now: float) -> int:
         """Return the number of strikes that count."""
         strikes = self._strikes.get(fingerprint, {}).values()
-        return sum(now - strike.recorded_at <= EXPIRE_SECONDS for strike in strikes)
+        return sum(strike.is_live(now) for strike in strikes)
 
     def evaluate(self, fingerprint: bytes, now: float) -> Restrictions:
         """Return the restrictions on requests with this fingerprint."""
         strikes = self._strikes.get(fingerprint, {})
-        live = [s for s in strikes.values() if now - s.recorded_at <= EXPIRE_SECONDS]
-        if not live:
+        live = [strike for strike in strikes.values() if strike.is_live(now)]
+        crashed_at = [strike.recorded_at for strike in live if strike.alone]
+        if len(live) < self._strikes_to_suspect and not crashed_at:
             return UNRESTRICTED
-        is_confirmed = len(live) >= STRIKES_TO_REFUSE and any(s.alone for s in live)
-        is_confirmed = is_confirmed or len(live) >= STRIKES_TO_CONFIRM
-        return Restrictions(alone=True, refuse=is_confirmed)
+        if len(live) < 2 or not crashed_at:
+            return Restrictions(alone=True, refuse=False)
+        seconds = REFUSE_SECONDS[min(len(crashed_at), len(REFUSE_SECONDS)) - 1]
+        left = max(crashed_at) + seconds - now
+        return Restrictions(alone=True, refuse=left >= 0.0, seconds=max(left, 0.0))
 
     def is_empty(self) -> bool:
         """Return whether no strikes are stored, so that hashing can be skipped."""
         return not self._strikes
+
+
+def choose_target(fingerprint: bytes, names: Iterable[str]) -> str:
+    """Return the target at which a suspected request runs.
+
+    All nodes that know of the same targets choose the same one, so that no two run the
+    request at the same time.
+    """
+    return min(
+        names, key=lambda name: xxhash.xxh3_64(fingerprint + name.encode()).digest()
+    )
--- a/cactusshed/policy/tickets.py
+++ b/cactusshed/policy/tickets.py
@@ -47,6 +47,8 @@
     state: TicketState = TicketState.NEW
     refusal: Refusal | None = None
     started: float = 0.0
+    is_suspected: bool = False
+    """Whether it may have crashed targets and runs as the only such request."""
     running_at_start: int = 0
     """Requests that ran when this one had started, itself included."""
     _is_late: bool = False
--- a/standins/meshtarget.py
+++ b/standins/meshtarget.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 
@@ -31,7 +32,8 @@
     answer for an hour), `unframed` (omit the content length), `unframed-reset` (also
     reset the connection in the middle), `mute` (answer neither this request, which is
     not run, nor any later one of the connection), `open-head` (send `open_head` and
-    nothing else), and those of `endless`.
+    nothing else), `crash` (end as the request begins to run; `on_crash` is called) and
+    those of `endless`.
     """
 
     instance: str = "i-1"
@@ -50,6 +52,8 @@
     aborted: int = 0
     muted: int = 0
     """Connections on which nothing is answered any more."""
+    crashes: int = 0
+    on_crash: Callable[[], object] = lambda: None
     running: int = 0
     peak_running: int = 0
     connections: int = 0
@@ -118,6 +122,11 @@
             self.muted += 1
             await reader.read()
             return False
+        if action == "crash":
+            self.crashes += 1
+            self.crash()
+            self.on_crash()
+            return False
         if action == "stale-early":
             self._write_stale_refusal(writer)
         self.runs[headers.get(b"x-attempt-id", b"").decode()] += 1
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cactusshed.mesh.crashes import CrashTracker
+from cactusshed.mesh.crashes import STRIKES_TO_SUSPECT, CrashTracker
 from cactusshed.mesh.frames import Call
 from cactusshed.mesh.gate import Gate
 from cactusshed.mesh.pool import ConnectionPool
@@ -82,12 +82,11 @@
     target = await open_mesh_target(**fields)
     restarts = []
     leaves = []
-    quarantine = Quarantine()
+    quarantine = Quarantine(STRIKES_TO_SUSPECT)
     gate = Gate(
         pool=ConnectionPool(target.address, header_names.ATTEMPT_ID),
         counters=Counters(),
         retry_budget=GateRetryBudget(0.2, 10.0, 50.0),
-        quarantine=quarantine,
         crash_tracker=CrashTracker(quarantine),
         tallies=TallyRecorder(),
         service="s",
--- a/tests/test_gate_mesh.py
+++ b/tests/test_gate_mesh.py
@@ -391,7 +391,7 @@
                 calls = [make_call(f"a{n}"), make_call(f"b{n}", "/b/")]
                 await asyncio.gather(*(gate.run(call) for call in calls))
                 gate.crash_tracker.record_crash(gate_now())
-                gate.quarantine.clear(make_fingerprint(calls[1]))
+                gate.crash_tracker.clear(calls[1])
             opened.target.script.clear()
             crashing = await gate.run(make_call("a9"))
             other = await gate.run(make_call("b9", "/b/"))
@@ -417,7 +417,9 @@
             for n in range(5):
                 await gate.run(make_call(f"r{n}"))
             fingerprint = make_fingerprint(make_call())
-            return gate.quarantine.evaluate(fingerprint, gate_now()).refuse
+            return gate.crash_tracker.quarantine.evaluate(
+                fingerprint, gate_now()
+            ).refuse
 
     assert_that(run_async(work), Equals(False))
 
@@ -478,6 +480,6 @@
             strikes = gate.crash_tracker.record_crash(gate_now())
             opened.target.script.clear()
             result = await gate.run(make_call("r9"))
-            return len(strikes), strikes[0].was_sole_request, result.outcome
+            return len(strikes), strikes[0].ran_alone, result.outcome
 
     assert_that(run_async(work), Equals((1, False, ANSWERED)))
