Nodes that start or were cut off learn which requests crash targets

Cause: a strike was sent once, when it arose, on the links of that moment.

Change: a node sends the strikes of suspected requests, cleared ones too, with their age, as the first message after the heartbeat on each link that another node dials; 64 at most.

--- a/cactusshed/mesh/crashes.py
+++ b/cactusshed/mesh/crashes.py
@@ -162,7 +162,7 @@
         self.quarantine.add_strike(
             strike.fingerprint,
             strike.strike_id,
-            now,
+            now - strike.age_ms / 1000,
             strike.ran_alone,
         )
 
@@ -180,6 +180,18 @@
                 [Strike(fingerprint, i, False, is_cleared=True) for i in strike_ids]
             )
 
+    def list_strikes(self, now: float) -> Iterator[Strike]:
+        """Yield the strikes that a node needs that has started or was cut off."""
+        for fingerprint, strike_id, strike in self.quarantine.list_strikes(now):
+            age = 0.0 if strike.is_cleared else now - strike.recorded_at
+            yield Strike(
+                fingerprint,
+                strike_id,
+                strike.alone,
+                strike.is_cleared,
+                max(0, int(age * 1000)),
+            )
+
 
 def _get_suspected(entry: tuple[float, Call, bool]) -> bool:
     return entry[-1]
--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -256,6 +256,8 @@
     is_cleared: bool = False
     """Whether a request of this fingerprint has been answered since. Earlier builds
     ignore it for strikes that they know."""
+    age_ms: Count = 0
+    """Time since the crash."""
 
 
 class VersionTallies(msgspec.Struct, array_like=True, tag=10):
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -231,6 +231,12 @@
         for strike in strikes:
             self.peers.broadcast(strike)
 
+    def _greet(self, link: Link) -> None:
+        """Send a node that has just dialled what it may have missed."""
+        self.relay.send_heartbeat(link)
+        for strike in self.crash_tracker.list_strikes(read_monotonic()):
+            link.send(strike)
+
     def _handle_frame(self, link: Link, frame: Frame) -> None:
         self.peers.handle(link, frame)
 
@@ -284,7 +290,7 @@
             self.inbound.handle,
             self._send_moves,
             self._restore_state,
-            lambda link: self.relay.send_heartbeat(link),
+            self._greet,
             self.counters,
             self.link_body_budget,
             self.answer_budget,
--- a/cactusshed/policy/quarantine.py
+++ b/cactusshed/policy/quarantine.py
@@ -7,7 +7,7 @@
 shows what it does.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 import xxhash
@@ -25,6 +25,8 @@
 """Fingerprints tracked at once; the oldest is dropped beyond that."""
 MAX_STRIKES = 16
 """Strikes tracked per fingerprint."""
+MAX_LISTED_STRIKES = 64
+"""Strikes that are handed to a node that starts."""
 CLEARED = float("-inf")
 """Time of a strike that no longer counts since the request was answered."""
 
@@ -126,6 +128,24 @@
         left = max(crashed_at) + seconds - now
         return Restrictions(alone=True, refuse=left >= 0.0, seconds=max(left, 0.0))
 
+    def list_strikes(self, now: float) -> Iterator[tuple[bytes, bytes, Strike]]:
+        """Yield fingerprint, id and strike for requests that are or were suspected.
+
+        A node that starts needs them. Their number is limited, the last come first.
+        """
+        left = MAX_LISTED_STRIKES
+        for fingerprint, strikes in reversed(self._strikes.items()):
+            known = [
+                (fingerprint, strike_id, strike)
+                for strike_id, strike in strikes.items()
+                if strike.is_cleared or strike.is_live(now)
+            ]
+            if len(known) >= self._strikes_to_suspect:
+                yield from known[:left]
+                left -= len(known)
+            if left <= 0:
+                return
+
     def is_empty(self) -> bool:
         """Return whether no strikes are stored, so that hashing can be skipped."""
         return not self._strikes
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -6,12 +6,13 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
 from cactusshed.clock import read_monotonic
 from cactusshed.mesh.crashes import STRIKES_TO_SUSPECT, CrashTracker, make_fingerprint
 from cactusshed.mesh.frames import ANSWERED
 from cactusshed.policy.quarantine import (
+    MAX_LISTED_STRIKES,
     Quarantine,
     choose_target,
 )
@@ -200,3 +201,56 @@
     again = [choose_target(b"%d" % number, reversed(names)) for number in range(200)]
     assert_that(chosen, Equals(again))
     assert_that(len(set(chosen)), GreaterThan(30))
+
+
+@pytest.mark.parametrize("is_gate", [True, False])
+def test_restarted_node_knows_the_requests_that_crash_targets(is_gate):
+    """A restarted node let them through again, at the first or at the last hop."""
+
+    async def work():
+        async with open_fleet(["x1", "y1"]) as (fleet, nodes, first_nodes):
+            first = first_nodes[0]
+            while (await first.request(CRASH)).status != 503:
+                await asyncio.sleep(DOWN_SECONDS + 0.2)
+            crashes = count_crashes(nodes)
+            node = nodes[0] if is_gate else first
+            await node.shut_down()
+            restarted = await fleet.restart(node)
+            await wait_for(restarted.is_reachable_and_ready)
+            await restarted.announce(born=5000)
+            others = [n for n in (*nodes, *first_nodes) if n is not node]
+            await wait_for(lambda: fleet.are_all_connected([restarted, *others]))
+            callers = [n for n in (restarted, *others) if n.settings.service == "b"]
+            statuses = [(await n.request(CRASH)).status for n in callers]
+            return statuses, count_crashes(nodes) - crashes
+
+    assert_that(run_async(work), Equals(([503] * 2, 0)))
+
+
+def test_strikes_are_handed_over_with_their_age_and_whether_they_count():
+    """A node that starts must neither count longer nor again what others cleared."""
+    sender, receiver = (CrashTracker(Quarantine(STRIKES_TO_SUSPECT)) for _ in range(2))
+    for path in ("/a/", "/b/"):
+        fingerprint = make_fingerprint(make_call(path=path))
+        for number in range(2):
+            sender.quarantine.add_strike(fingerprint, b"%d" % number, 100.0, False)
+    sender.clear(make_call(path="/b/"))
+    for strike in sender.list_strikes(350.0):
+        receiver.add_strike(strike, 1000.0)
+    restrictions = [
+        receiver.restrict(make_call(path=path), now).alone
+        for path, now in (("/a/", 1000.0), ("/a/", 1100.0), ("/b/", 1000.0))
+    ]
+    assert_that(restrictions, Equals([True, False, False]))
+
+
+def test_number_of_strikes_that_are_handed_over_is_bounded():
+    """After many crashes each node sends what concerns suspected requests only."""
+    quarantine = Quarantine(STRIKES_TO_SUSPECT)
+    for number in range(3000):
+        quarantine.add_strike(b"once-%d" % number, b"1", 0.0, False)
+        for strike_id in (b"1", b"2"):
+            quarantine.add_strike(b"twice-%d" % number, strike_id, 0.0, False)
+    strikes = list(quarantine.list_strikes(1.0))
+    assert_that(strikes, HasLength(MAX_LISTED_STRIKES))
+    assert_that(strikes[0][0], Equals(b"twice-2999"))
