The digest of a request includes its host

What callers could see: a request that crashes targets kept the same path of another host from its callers.

Change: the name in the host header is part of the digest, without the port and in lower case, as routes are matched.

test_same_path_at_another_host_is_another_request failed before.

--- a/cactusshed/mesh/crashes.py
+++ b/cactusshed/mesh/crashes.py
@@ -9,6 +9,7 @@
 from ..observe.lines import log_line
 from ..policy.quarantine import Quarantine, Restrictions
 from .frames import Call, Strike
+from .table import read_host_name
 
 __all__ = [
     "STRIKES_TO_SUSPECT",
@@ -29,7 +30,16 @@
 
 def make_fingerprint(call: Call) -> bytes:
     """Return a digest that is the same for every attempt of a request."""
-    content = b"\0".join((call.method, call.path, call.caller.encode(), call.body))
+    host = next((value for name, value in call.headers if name == b"host"), b"")
+    content = b"\0".join(
+        (
+            call.method,
+            read_host_name(host).encode(),
+            call.path,
+            call.caller.encode(),
+            call.body,
+        )
+    )
     return xxhash.xxh3_128_digest(content)
 
 
--- a/cactusshed/mesh/table.py
+++ b/cactusshed/mesh/table.py
@@ -14,6 +14,7 @@
     "Service",
     "Table",
     "build_table",
+    "read_host_name",
 ]
 
 
@@ -91,12 +92,8 @@
 
     def match_request(self, host: bytes, target: bytes) -> Route | None:
         """Return the route of a request with this host header and request target."""
-        host_name = host.decode("latin-1").lower()
-        name, _, port = host_name.rpartition(":")
-        if port.isdigit():
-            host_name = name
         path = target.partition(b"?")[0].decode("latin-1")
-        return self.find_route(host_name, path)
+        return self.find_route(read_host_name(host), path)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`, if any."""
@@ -113,6 +110,13 @@
                 return route
 
 
+def read_host_name(host: bytes) -> str:
+    """Return the name in a host header, in lower case and without the port."""
+    host_name = host.decode("latin-1").lower()
+    name, _, port = host_name.rpartition(":")
+    return name if port.isdigit() else host_name
+
+
 EMPTY_TABLE = Table(0, {}, {}, Limits())
 
 
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -135,6 +135,14 @@
     assert_that(run_async(work), Equals(expected))
 
 
+def test_same_path_at_another_host_is_another_request():
+    """A request that crashes targets kept a page of another host from its callers."""
+    hosts = (b"h", b"H:80", b"other")
+    calls = [make_call(headers=[(b"accept", b"*/*"), (b"host", h)]) for h in hosts]
+    first, same, other = map(make_fingerprint, calls)
+    assert_that((first == same, first == other), Equals((True, False)))
+
+
 def test_answer_clears_a_request_at_all_nodes():
     """An answer cleared a request only at the node whose target had answered."""
     nodes = [CrashTracker(Quarantine(STRIKES_TO_SUSPECT)) for _ in range(2)]
