The product's nodes hand over strikes, and clear them everywhere

Change: a sync begins with the strikes of suspected requests; clearing is gossiped like a strike; a refusal names the time for which it holds.

test_node_that_joins_learns_which_requests_crash_targets and test_answer_clears_a_call_at_the_other_nodes need the new methods; neither the handing over nor the clearing existed before.

--- a/cactusshed/member/joiner.py
+++ b/cactusshed/member/joiner.py
@@ -1,7 +1,7 @@
 """Joining the mesh: seed rows and anti-entropy with peers."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import anyio
 import attrs
@@ -44,11 +44,17 @@
 MAX_SEED_ROWS = 200
 
 
-def make_sync_replies(view: View, request: pb.SyncRequest) -> Iterable[pb.SyncReply]:
+def make_sync_replies(
+    view: View, request: pb.SyncRequest, strikes: Iterable[pb.Strike] = ()
+) -> Iterator[pb.SyncReply]:
     """Yield, in batches, the records in buckets that differ from the sender's.
 
-    A request without bucket digests gets every record.
+    A request without bucket digests gets every record. The first reply holds `strikes`,
+    which the sender may have missed: gossip spreads each only once.
     """
+    known_strikes = list(strikes)
+    if known_strikes:
+        yield pb.SyncReply(strikes=known_strikes)
     sender_digests = list(request.buckets)
     if len(sender_digests) == BUCKETS:
         local_digests = view.get_bucket_digests()
@@ -72,6 +78,8 @@
     view: View
     counters: Counters
     rng: random.Random = attrs.Factory(random.Random)
+    on_strike: Callable[[pb.Strike], None] = lambda _strike: None
+    """Receives each strike that another node hands over."""
 
     async def join(self) -> bool:
         """Fetch the view of one seed; return whether a seed was reached."""
@@ -190,6 +198,8 @@
                 )
                 async for reply in call:
                     self.counters.add("control_bytes_received", reply.ByteSize())
+                    for strike in reply.strikes:
+                        self.on_strike(strike)
                     for member in map(load_member, reply.members):
                         fetched_nodes.add(member.node)
                         self.view.merge(member, now, propagate=propagate)
--- a/cactusshed/node.py
+++ b/cactusshed/node.py
@@ -101,7 +101,13 @@
             self.settings.probe_interval,
             self._crash_tracker.receive_strike,
         )
-        self._joiner = Joiner(self.settings, self._port, self.view, self.counters)
+        self._joiner = Joiner(
+            self.settings,
+            self._port,
+            self.view,
+            self.counters,
+            on_strike=self._crash_tracker.receive_strike,
+        )
         self._target_registry = TargetRegistry(
             self.settings.announce_ttl, self._publish_targets
         )
@@ -293,6 +299,7 @@
             self._tallies,
             self._count_running,
             self.counters,
+            self._crash_tracker.list_strikes,
         )
         add_ControlServicer_to_server(servicer, server)
         address = str(self.settings.control)
--- a/cactusshed/policy/quarantine.py
+++ b/cactusshed/policy/quarantine.py
@@ -94,10 +94,16 @@
         strikes[strike_id] = Strike(recorded_at, alone)
         return True
 
-    def clear_strike(self, fingerprint: bytes, strike_id: bytes) -> None:
-        """Clear one strike, also if it has not arrived yet."""
-        self.add_strike(fingerprint, strike_id, CLEARED, False)
-        self._strikes[fingerprint][strike_id] = Strike(CLEARED, False)
+    def clear_strike(self, fingerprint: bytes, strike_id: bytes) -> bool:
+        """Clear one strike, also if it has not arrived yet; return whether it counted.
+
+        One that has not arrived counts until then.
+        """
+        is_new = self.add_strike(fingerprint, strike_id, CLEARED, False)
+        strikes = self._strikes[fingerprint]
+        has_counted = is_new or not strikes[strike_id].is_cleared
+        strikes[strike_id] = Strike(CLEARED, False)
+        return has_counted
 
     def clear(self, fingerprint: bytes) -> list[bytes]:
         """Clear a request that was answered; return the ids of its strikes.
--- a/cactusshed/serve/dispatch.py
+++ b/cactusshed/serve/dispatch.py
@@ -102,7 +102,7 @@
         call.alone = restrictions.alone
         if restrictions.refuse:
             self.counters.add("refused_quarantined")
-            return NotRun("quarantined", 60.0)
+            return NotRun("quarantined", restrictions.seconds)
         if restrictions.alone and len(endpoints) < 2:
             return NotRun("quarantined-last-target", 60.0)
         return None
@@ -215,7 +215,7 @@
         if isinstance(outcome, Unknown) and outcome.code == TARGET_DIED:
             self.crash_tracker.record_crash(call)
         if call.alone and isinstance(outcome, Answered):
-            self.crash_tracker.quarantine.clear(call.compute_fingerprint())
+            self.crash_tracker.clear(call)
         if isinstance(outcome, NotRun) and outcome.code in _UNREACHABLE:
             self.avoided.note_failure(node, read_monotonic())
         elif isinstance(outcome, Answered):
--- a/cactusshed/spread/servicer.py
+++ b/cactusshed/spread/servicer.py
@@ -1,6 +1,6 @@
 """The gRPC control service that other nodes call."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import grpc
 
@@ -32,6 +32,7 @@
         tallies: Tallies,
         count_running: Callable[[str], int],
         counters: Counters,
+        list_strikes: Callable[[], Iterable[pb.Strike]],
     ) -> None:
         """Delegate to the given components."""
         self._feed = feed
@@ -41,6 +42,7 @@
         self._tallies = tallies
         self._count_running = count_running
         self._counters = counters
+        self._list_strikes = list_strikes
 
     async def Follow(self, _request_iterator, context):  # noqa: N802
         """Serve the feed to one child."""
@@ -63,7 +65,7 @@
             sender = load_member(request.sender)
         except Malformed as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
-        for reply in make_sync_replies(self._view, request):
+        for reply in make_sync_replies(self._view, request, self._list_strikes()):
             self._counters.add("control_bytes_sent", reply.ByteSize())
             await context.write(reply)
         self._view.merge(sender, read_monotonic())
--- a/tests/test_joiner.py
+++ b/tests/test_joiner.py
@@ -4,15 +4,21 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from cactusshed.clock import read_monotonic
 from cactusshed.member import joiner as joiner_module
 from cactusshed.member.joiner import Joiner, make_sync_replies
 from cactusshed.member.records import Member, load_member
 from cactusshed.member.rumors import Rumors
 from cactusshed.member.view import View
+from cactusshed.observe.counters import Counters
+from cactusshed.policy.quarantine import Quarantine
+from cactusshed.serve.crashes import CrashTracker
+from cactusshed.serve.messages import Call
 from cactusshed.wire import control_pb2 as pb
 
 GOSSIP_ROUNDS = 6
@@ -29,6 +35,7 @@
         member = Member(name, "r", "d", "127.0.0.1", 1, 100 + number, 1)
         self.rumors = Rumors(lambda: len(self.view))
         self.view = View(member, self.rumors.add_member)
+        self.tracker = CrashTracker(Quarantine(), self.rumors, Counters())
 
 
 class FakeStub:
@@ -41,7 +48,10 @@
     async def Sync(self, request, **_options):  # noqa: N802
         """Merge the sender, as the servicer does, and yield the node's records."""
         self._node.view.merge(load_member(request.sender), 0.0)
-        for reply in make_sync_replies(self._node.view, request):
+        replies = make_sync_replies(
+            self._node.view, request, self._node.tracker.list_strikes()
+        )
+        for reply in replies:
             yield reply
 
 
@@ -89,3 +99,59 @@
         run_gossip(nodes, rng)
     known = {len(node.view.list_live("d")) for node in nodes}
     assert_that(known, Equals({10}))
+
+
+def make_call(path):
+    """Return a call whose fingerprint depends on `path`."""
+    fields = dict.fromkeys((f.name for f in attrs.fields(Call) if f.init))
+    return Call(
+        **{
+            **fields,
+            "call_id": path,
+            "path": path.encode(),
+            "method": "GET",
+            "body": b"",
+        }
+    )
+
+
+def is_suspected(node, call):
+    """Return whether a node runs a call alone."""
+    fingerprint = call.compute_fingerprint()
+    return node.tracker.quarantine.evaluate(fingerprint, read_monotonic()).alone
+
+
+def test_node_that_joins_learns_which_requests_crash_targets(nodes, counters):
+    """Gossip spreads each strike once: a node that started later let them through."""
+    crashing, cleared = make_call("/a"), make_call("/b")
+    for call in (crashing, cleared):
+        nodes[5].tracker.record_crash(call)
+    nodes[5].tracker.clear(cleared)
+    joiner = Joiner(
+        None,
+        None,
+        nodes[0].view,
+        counters,
+        on_strike=nodes[0].tracker.receive_strike,
+    )
+    address = nodes[5].view.local_member.control_address
+    anyio.run(joiner._sync, address, [])
+    known = [is_suspected(nodes[0], call) for call in (crashing, cleared)]
+    assert_that(known, Equals([True, False]))
+
+
+def test_answer_clears_a_call_at_the_other_nodes(nodes):
+    """An answer cleared a call only at the node that had received it."""
+    call = make_call("/a")
+    nodes[0].tracker.record_crash(call)
+    deliver_strikes(nodes[0], nodes[1])
+    assert_that(is_suspected(nodes[1], call), Equals(True))
+    nodes[0].tracker.clear(call)
+    deliver_strikes(nodes[0], nodes[1])
+    assert_that(is_suspected(nodes[1], call), Equals(False))
+
+
+def deliver_strikes(sender, receiver):
+    """Deliver the pending strikes of a node to another one."""
+    for strike in sender.rumors.fill(pb.Packet()).strikes:
+        receiver.tracker.receive_strike(strike)
