The times of reads come from the bound on changes, and no longer add up

Cause: the feed call (2.0 + 0.6 s), the age up to which a reader counted as fresh (2.8 s) and the followers' wait (1.0 s) added up, as constants. The bound in the settings was not used.

Change: `policy/readtimes.py` computes the times from the shortest bound on changes. Heartbeats state the age of the store's last answer, and the other nodes rely on a reader until that age is three quarters of the bound.

tests/test_readers.py passes the times to the relay; its checks are the same.

--- a/cactusshed/mesh/frames.py
+++ b/cactusshed/mesh/frames.py
@@ -207,6 +207,8 @@
 
     last_change: int
     version: int
+    store_age_ms: Count = 0
+    """Age of the store's last answer to the sender; earlier builds do not state it."""
 
 
 class PullRequest(msgspec.Struct, array_like=True, tag=8):
--- a/cactusshed/mesh/relay.py
+++ b/cactusshed/mesh/relay.py
@@ -3,10 +3,10 @@
 The design assumes many nodes, slow links and changes to a large document. Calls to the
 store and traffic between data centres are billed, traffic inside a data centre is
 not. The node with the fastest link reads the store. The other nodes of its data
-centre follow it; if its heartbeats stop, that is, if it fails or loses the store, they
-try in turns until one of them is answered. After a change a reader sends a heartbeat to
-all nodes, so that a node whose own reader is cut off pulls the change from another data
-centre.
+centre follow it; if its heartbeats stop, or say that the store has not answered it for
+too long, they try in turns until one of them is answered. After a change a reader sends
+a heartbeat to all nodes, so that a node whose own reader is cut off pulls the change
+from another data centre.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 from ..clock import read_monotonic
 from ..observe.lines import log_line
 from ..policy.readerturns import is_on_turn
+from ..policy.readtimes import ReadTimes
 from .frames import Frame, PullRequest, ReaderHeartbeat, RecordsUpdate
 from .link import Link
 from .member import Member
@@ -25,14 +26,6 @@
 
 __all__ = ["Relay"]
 
-HEARTBEAT_SECONDS = 0.3
-"""Interval of a reader's heartbeats to its followers."""
-SILENT_SECONDS = 1.0
-"""Time without a heartbeat after which a data centre has no reader: half of the time in
-which users require a configuration to take effect."""
-STORE_LOST_SECONDS = 2.8
-"""Age of the store's last answer at which the store counts as lost: one feed call
-and a margin."""
 PULL_TIMEOUT_SECONDS = 0.8
 """Time for the answer to a `PullRequest` before another node is asked: a complete
 document over the slowest known links."""
@@ -51,10 +44,12 @@
     peers: Peers
     records: Records
     is_leaving: Callable[[], bool]
+    times: ReadTimes
     last_store_answer: float = float("-inf")
     """Time of the store's last answer to a read; minus infinity after a failed one."""
     started_at: float = attrs.Factory(read_monotonic)
-    _last_heartbeats: dict[str, float] = attrs.Factory(dict)
+    _trusted_until: dict[str, float] = attrs.Factory(dict)
+    """Until when the other nodes of the data centre count as readers."""
     _was_reader: bool = False
     _pull_sent_at: float = float("-inf")
 
@@ -93,15 +88,15 @@
         if self._is_fresh(now):
             # This node reads in place of the ones before it.
             return True
-        last_heartbeat = max([self.started_at, *self._last_heartbeats.values()])
-        silent_seconds = now - last_heartbeat - SILENT_SECONDS
-        return is_on_turn(ranked.index(self.node) - 1, len(ranked) - 1, silent_seconds)
+        first_end = self.started_at + self.times.silent
+        seconds = now - max([first_end, *self._trusted_until.values()])
+        return is_on_turn(ranked.index(self.node) - 1, len(ranked) - 1, seconds)
 
     def _hears_earlier_reader(self, now: float) -> bool:
         """Return whether a node that ranks before this one sends heartbeats."""
         local_key = (-self.link_mbps, self.node)
-        for node, heard_at in self._last_heartbeats.items():
-            if now - heard_at > SILENT_SECONDS:
+        for node, trusted_until in self._trusted_until.items():
+            if now > trusted_until:
                 continue
             member = self.peers.members.get(node)
             if member is None or not member.is_up or member.is_leaving:
@@ -111,7 +106,7 @@
         return False
 
     def _is_fresh(self, now: float) -> bool:
-        return now - self.last_store_answer < STORE_LOST_SECONDS
+        return now - self.last_store_answer < self.times.lost
 
     def note_store_answer(self) -> None:
         """Record that the store has answered."""
@@ -124,7 +119,7 @@
     async def run(self) -> None:
         """Send heartbeats to the followers until cancelled."""
         while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(self.times.heartbeat)
             self.send_heartbeats()
 
     def send_heartbeats(self) -> None:
@@ -134,7 +129,10 @@
                 link.send(self._make_heartbeat())
 
     def _make_heartbeat(self) -> ReaderHeartbeat:
-        return ReaderHeartbeat(self.records.last_change, self.records.table.version)
+        age = min(read_monotonic() - self.last_store_answer, self.times.lost)
+        return ReaderHeartbeat(
+            self.records.last_change, self.records.table.version, int(age * 1000)
+        )
 
     def _list_followers(self) -> list[Link]:
         members = self.peers.members
@@ -180,7 +178,11 @@
         member.last_change = heartbeat.last_change
         member.version = heartbeat.version
         if member.data_centre == self.data_centre:
-            self._last_heartbeats[member.node] = read_monotonic()
+            # A reader that is cut off from the store still sends heartbeats for a
+            # while; a change may have followed the store's last answer at once.
+            age = heartbeat.store_age_ms / 1000
+            lasting = min(self.times.silent, self.times.lost - age)
+            self._trusted_until[member.node] = read_monotonic() + lasting
         if self._is_behind(member):
             is_near = member.data_centre == self.data_centre
             is_new = not self.records.table.version
--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -30,6 +30,7 @@
 from ..policy.gateretries import GateRetryBudget
 from ..policy.plannedstop import PlannedStop, ReaderProgress
 from ..policy.quarantine import Quarantine
+from ..policy.readtimes import compute_read_times
 from ..policy.uplink import make_uplink
 from ..sockets import read_descriptor_limit
 from ..tenants.counts import TenantCounts
@@ -99,7 +100,11 @@
         self.records = Records(
             self.counters, self._apply_records, lambda base: self.relay.publish(base)
         )
-        self.store = RowStore(settings.store, self.counters)
+        bounds = settings.bounds
+        self.read_times = compute_read_times(bounds.apply, bounds.evacuation)
+        self.store = RowStore(
+            settings.store, self.counters, feed_margin=self.read_times.answer
+        )
         self.request_budget, self.answer_budget = make_body_budgets(
             settings.memory_bytes
         )
@@ -114,7 +119,6 @@
         self.link_budgets = make_link_budgets(settings.memory_bytes, self.descriptors)
         uplink = make_uplink(settings.link_mbps)
         self.scheduler = None if uplink is None else UplinkScheduler(uplink)
-        bounds = settings.bounds
         self.gate = Gate(
             pool=ConnectionPool(
                 settings.target,
@@ -163,6 +167,7 @@
             self.store,
             self.records,
             self.own_row,
+            self.read_times,
             self.counters,
             self._add_member,
             self.announcements.restore_state,
@@ -304,6 +309,7 @@
             self.peers,
             self.records,
             lambda: self.is_leaving,
+            self.read_times,
         )
         self.moves = self.inbound.moves = Moves(
             settings.node,
--- a/cactusshed/mesh/storesync.py
+++ b/cactusshed/mesh/storesync.py
@@ -12,6 +12,7 @@
 from ..observe.lines import log_line
 from ..platform.rowkeys import MEMBER_PREFIX, OPERATOR_TABLE, SYSTEM_TABLE
 from ..platform.rows import HistoryGone, RowStore, StoredRow
+from ..policy.readtimes import ReadTimes
 from ..store.versions import get_era
 from .frames import TargetState
 from .memberrow import (
@@ -24,9 +25,6 @@
 
 __all__ = ["StoreSync"]
 
-FEED_SECONDS = 2.0
-"""Long-poll time of one feed call, short enough to detect a dead connection within
-the time in which users require a change to take effect."""
 DISCOVERY_SECONDS = 0.15
 """Time for a starting node to find other nodes: some calls to the store."""
 OLDER_READ_PAUSE_SECONDS = 0.2
@@ -34,9 +32,6 @@
 changes that the store still has. Reads may be some seconds behind."""
 READER_CHECK_SECONDS = 0.1
 """Interval at which a follower checks whether it must read the store itself."""
-SETTLE_SECONDS = 1.0
-"""Time after a return of the store in which the operator writes again what was lost;
-half of the time in which users require a change to take effect."""
 FIRST_UPDATE_SECONDS = 0.6
 """Time for the first update from the reader: a complete document over the slowest
 known links."""
@@ -57,6 +52,7 @@
     store: RowStore
     records: Records
     row: OwnRow
+    times: ReadTimes
     counters: Counters
     on_member: Callable[[str, str], None]
     restore_state: Callable[[TargetState], None]
@@ -128,7 +124,7 @@
         if self._settles_at is not None:
             wait = min(wait, max(0.0, self._settles_at - read_monotonic()))
         page = await self.store.wait_for_changes(OPERATOR_TABLE, after, wait)
-        self._feed_seconds = FEED_SECONDS
+        self._feed_seconds = self.times.feed
         self._has_followed = True
         self.note_store_answer()
         self.records.apply_changes(page.rows, page.version)
@@ -158,7 +154,7 @@
         """Note the store's era, which another node may have been the first to see."""
         self.store.eras.note(era)
         if self._era is not None and era > self._era:
-            self._settles_at = read_monotonic() + SETTLE_SECONDS
+            self._settles_at = read_monotonic() + self.times.settle
             delay = random.uniform(0.0, RESTORE_SECONDS)  # noqa: S311
             asyncio.get_running_loop().call_later(delay, self.row.request_write)
         self._era = max(era, self._era or 0)
--- a/cactusshed/nodesettings.py
+++ b/cactusshed/nodesettings.py
@@ -28,6 +28,8 @@
     """Time after an acknowledged leave in which a target may still get calls."""
     apply: float | None = None
     """Time limit for an accepted configuration to take effect."""
+    evacuation: float | None = None
+    """Time limit for the evacuation of a data centre to take effect."""
     rollback: float | None = None
     """Time limit for rolling back a bad version."""
     exposed_share: float | None = None
--- a/cactusshed/platform/boot.py
+++ b/cactusshed/platform/boot.py
@@ -94,6 +94,7 @@
     _Field("retry_slack", "bounds", "budget_slack", read_number, 0.0),
     _Field("drain", "bounds", "drain", read_seconds, None),
     _Field("apply", "bounds", "config", read_seconds, None),
+    _Field("evacuation", "bounds", "evacuation", read_seconds, None),
     _Field("rollback", "bounds", "rollback", read_seconds, None),
     _Field("exposed_share", "bounds", "exposure_share", read_number, None),
     _Field("exposed_slack", "bounds", "exposure_slack", read_number, None),
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -25,19 +25,27 @@
 CALL_TIMEOUT_SECONDS = 1.2
 """Time limit of a call: over twice the 0.5 s of a transaction in the slowest store."""
 FEED_MARGIN_SECONDS = 0.6
-"""Time for the feed's response beyond the requested wait."""
+"""Time for the answer to a feed call beyond its wait, unless another is set."""
 
 
 class RowStore:
     """Client of the store at one address; every call has a time limit."""
 
     def __init__(
-        self, address: Address, counters: Counters, timeout: float | None = None
+        self,
+        address: Address,
+        counters: Counters,
+        timeout: float | None = None,
+        feed_margin: float = FEED_MARGIN_SECONDS,
     ) -> None:
-        """Use the store at `address`, allowing `timeout` seconds per call."""
+        """Use the store at `address`, allowing `timeout` seconds per call.
+
+        A feed call has `feed_margin` seconds for its answer beyond its wait.
+        """
         self._calls = HttpCalls("store", address, counters)
         self._counters = counters
         self._timeout = CALL_TIMEOUT_SECONDS if timeout is None else timeout
+        self._feed_margin = feed_margin
         self.eras = StoreEras(counters)
 
     @property
@@ -96,7 +104,7 @@
             raise HistoryGone("the store has come back", step="follow rows")
         target = f"rows-feed?table={quote(table)}&after={get_number(after)}"
         target += f"&wait_ms={int(wait * 1000)}"
-        rows, _, version = await self._read(target, wait + FEED_MARGIN_SECONDS)
+        rows, _, version = await self._read(target, wait + self._feed_margin)
         if get_era(version) != get_era(after):
             raise HistoryGone("the store has come back", step="follow rows")
         return Page(rows, version)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay on loopback that can lose the state of open connections, like a NAT."""
+"""TCP relay on loopback that can lose connections silently, like a NAT or a cut."""
 
 import contextlib
 import socket
@@ -13,12 +13,14 @@
 class Relay:
     """Relays TCP connections to `port` and can silence the open ones.
 
-    Silenced connections stay open but carry no more data; new ones work.
+    Silenced connections stay open but carry no more data; new ones work. While
+    `is_cut`, no connection carries any.
     """
 
     def __init__(self) -> None:
         """Listen on a free port; set `port` before the first connection."""
         self.port = 0
+        self.is_cut = False
         self._listener = socket.create_server((IP, 0))
         self.address = self._listener.getsockname()
         # Number of calls of `silence_open`; connections of earlier ones are silent.
@@ -54,12 +56,15 @@
                     daemon=True,
                 ).start()
 
+    def _passes(self, generation: int) -> bool:
+        return generation == self._generation and not self.is_cut
+
     def _pump(
         self, source: socket.socket, sink: socket.socket, generation: int
     ) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(CHUNK_BYTES):
-                if generation == self._generation:
+                if self._passes(generation):
                     sink.sendall(data)
-            if generation == self._generation:
+            if self._passes(generation):
                 sink.shutdown(socket.SHUT_WR)
--- a/tests/test_joiner.py
+++ b/tests/test_joiner.py
@@ -103,7 +103,7 @@
 
 def make_call(path):
     """Return a call whose fingerprint depends on `path`."""
-    fields = dict.fromkeys((f.name for f in attrs.fields(Call) if f.init))
+    fields = dict.fromkeys(f.name for f in attrs.fields(Call) if f.init)
     return Call(
         **{
             **fields,
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -9,12 +9,14 @@
 
 from cactusshed.clock import set_monotonic
 from cactusshed.mesh.frames import ReaderHeartbeat
-from cactusshed.mesh.relay import HEARTBEAT_SECONDS, Relay
+from cactusshed.mesh.relay import Relay
 from cactusshed.mesh.table import EMPTY_TABLE
+from cactusshed.policy.readtimes import compute_read_times
 
 STEP_SECONDS = 0.1
 APPLY_SECONDS = 2.0
 """Time in which the users of the base sites want a change to be in force."""
+TIMES = compute_read_times(APPLY_SECONDS)
 
 
 @attrs.define
@@ -72,30 +74,42 @@
 class Fleet:
     """The relays of one data centre in steps of virtual time, and their store."""
 
-    def __init__(self, count):
-        """Start `count` nodes; the store answers all."""
+    def __init__(self, count, times=TIMES):
+        """Start `count` nodes; the store answers all.
+
+        Calls of nodes in `hanging` are not answered; calls of `refused` ones fail.
+        """
         self.now = 100.0
         self.members = {f"n{i:03}": FakeMember(f"n{i:03}", 10.0) for i in range(count)}
         self.relays = {
             name: Relay(
-                name, "dc", 10.0, FakePeers(self, name), FakeRecords(), lambda: False
+                name,
+                "dc",
+                10.0,
+                FakePeers(self, name),
+                FakeRecords(),
+                lambda: False,
+                times,
             )
             for name in self.members
         }
+        self.times = times
         self.refused = set()
+        self.hanging = set()
         self.calls = 0
         self.heard_at = 0.0
 
     def step(self):
         """Let every node act for one step."""
         self.now += STEP_SECONDS
-        beats = round(self.now / STEP_SECONDS) % round(HEARTBEAT_SECONDS / STEP_SECONDS)
+        beat_steps = max(1, round(self.times.heartbeat / STEP_SECONDS))
+        beats = round(self.now / STEP_SECONDS) % beat_steps
         for name, relay in self.relays.items():
             if relay.is_reader():
                 self.calls += 1
                 if name in self.refused:
                     relay.note_store_failure()
-                else:
+                elif name not in self.hanging:
                     relay.note_store_answer()
             if not beats:
                 relay.send_heartbeats()
@@ -112,7 +126,7 @@
         return [
             name
             for name, relay in self.relays.items()
-            if relay.is_reader() and name not in self.refused
+            if relay.is_reader() and name not in self.refused | self.hanging
         ]
 
 
@@ -121,8 +135,8 @@
     """Return a function that starts a fleet and lets it settle."""
     previous = []
 
-    def make(count):
-        fleet = Fleet(count)
+    def make(count, times=TIMES):
+        fleet = Fleet(count, times)
         previous.append(set_monotonic(lambda: fleet.now))
         for relay in fleet.relays.values():
             relay.started_at = fleet.now
@@ -179,6 +193,28 @@
     assert_that(fleet.list_readers(), Equals(["n001"]))
 
 
+@pytest.mark.parametrize("apply", [1.0, 2.0, 5.0])
+def test_reader_whose_calls_hang_is_replaced_before_a_change_is_late(make_fleet, apply):
+    """Its heartbeats went on, so that the other nodes kept an old version."""
+    fleet = make_fleet(24, compute_read_times(apply))
+    fleet.run(7.0)
+    fleet.hanging = {"n000"}
+    fleet.run(0.9 * apply)
+    assert_that(len(fleet.list_readers()), Equals(1))
+
+
+def test_reader_that_is_cut_off_after_its_calls_hang_is_replaced_in_time(make_fleet):
+    """Losing the store and then the other nodes must not add up."""
+    fleet = make_fleet(24)
+    fleet.run(7.0)
+    fleet.hanging = {"n000"}
+    fleet.run(1.2)
+    del fleet.members["n000"]
+    del fleet.relays["n000"]
+    fleet.run(0.6)
+    assert_that(len(fleet.list_readers()), Equals(1))
+
+
 def test_heartbeat_of_another_data_centre_is_no_reader(make_fleet):
     """Only a reader of the own data centre keeps the others from reading."""
     fleet = make_fleet(3)
