Test stand-ins follow the checks for suspected requests

A dispatcher asks for the strikes of a request, and a request begins with whether it is suspected; both stand-ins failed with a TypeError or an AttributeError. The conditions of the tests are unchanged.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -14,6 +14,7 @@
 
 from cactusshed.clock import read_monotonic
 from cactusshed.mesh.callplan import CallPlan
+from cactusshed.mesh.crashes import CrashTracker
 from cactusshed.mesh.dispatch import Dispatcher
 from cactusshed.mesh.frames import ANSWERED, NOT_RUN, Load, Result
 from cactusshed.mesh.healthchecks import HealthChecks
@@ -24,6 +25,7 @@
 from cactusshed.options import Address
 from cactusshed.platform.headers import read_rate_limit
 from cactusshed.policy.placement import Candidate, LoadView, order_candidates
+from cactusshed.policy.quarantine import Quarantine
 from cactusshed.policy.ratelimit import NamedRateLimit
 from standins.meshfleet import MeshFleet, make_document, wait_for
 
@@ -364,7 +366,8 @@
         candidates = SimpleNamespace(
             list_open=lambda *_: iter(pairs), estimate_delivery=lambda *_: 0.0
         )
-        dispatcher = Dispatcher(candidates, _Peers("n4"), None, Counters())
+        gate = SimpleNamespace(crash_tracker=CrashTracker(Quarantine()))
+        dispatcher = Dispatcher(candidates, _Peers("n4"), gate, Counters())
         now = read_monotonic()
         plan = CallPlan(
             make_call(), now + 2.0, now + 1.0, 2, lambda: "", lambda _version: ""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -197,8 +197,8 @@
             opened.target.script["/a/"] = script
             begin = CrashTracker.begin
 
-            def begin_with_calls(*args):
-                running = begin(*args)
+            def begin_with_calls(*args, **options):
+                running = begin(*args, **options)
                 running.unsuccessful_calls = unsuccessful_calls
                 return running
 
