--- a/cactusshed/mesh/sidecar.py
+++ b/cactusshed/mesh/sidecar.py
@@ -102,9 +102,8 @@
         )
         bounds = settings.bounds
         self.read_times = compute_read_times(bounds.apply, bounds.evacuation)
-        self.store = RowStore(
-            settings.store, self.counters, feed_margin=self.read_times.answer
-        )
+        self.store = RowStore(settings.store, self.counters)
+        self.store.feed_margin = self.read_times.answer
         self.request_budget, self.answer_budget = make_body_budgets(
             settings.memory_bytes
         )
--- a/cactusshed/platform/rows.py
+++ b/cactusshed/platform/rows.py
@@ -32,20 +32,13 @@
     """Client of the store at one address; every call has a time limit."""
 
     def __init__(
-        self,
-        address: Address,
-        counters: Counters,
-        timeout: float | None = None,
-        feed_margin: float = FEED_MARGIN_SECONDS,
+        self, address: Address, counters: Counters, timeout: float | None = None
     ) -> None:
-        """Use the store at `address`, allowing `timeout` seconds per call.
-
-        A feed call has `feed_margin` seconds for its answer beyond its wait.
-        """
+        """Use the store at `address`, allowing `timeout` seconds per call."""
         self._calls = HttpCalls("store", address, counters)
         self._counters = counters
         self._timeout = CALL_TIMEOUT_SECONDS if timeout is None else timeout
-        self._feed_margin = feed_margin
+        self.feed_margin = FEED_MARGIN_SECONDS
         self.eras = StoreEras(counters)
 
     @property
@@ -104,7 +97,7 @@
             raise HistoryGone("the store has come back", step="follow rows")
         target = f"rows-feed?table={quote(table)}&after={get_number(after)}"
         target += f"&wait_ms={int(wait * 1000)}"
-        rows, _, version = await self._read(target, wait + self._feed_margin)
+        rows, _, version = await self._read(target, wait + self.feed_margin)
         if get_era(version) != get_era(after):
             raise HistoryGone("the store has come back", step="follow rows")
         return Page(rows, version)
