--- a/cactusshed/mesh/records.py
+++ b/cactusshed/mesh/records.py
@@ -14,7 +14,7 @@
 from ..errors import Malformed
 from ..observe.counters import Counters
 from ..observe.lines import log_line
-from ..platform.document import MoveOrder, decode_move, decode_table
+from ..platform.document import decode_move, decode_table
 from ..platform.rowkeys import (
     CONFIG_KEY,
     EVACUATION_PREFIX,
@@ -25,7 +25,7 @@
 from ..tenants.change import find_changed_tenants
 from .change import decode_change, encode_change, find_changed_routes
 from .frames import RecordsUpdate
-from .table import EMPTY_TABLE, Table
+from .table import EMPTY_TABLE, MoveOrder, Table
 
 __all__ = ["Records", "StoredOrder"]
 
--- a/cactusshed/mesh/table.py
+++ b/cactusshed/mesh/table.py
@@ -1,4 +1,4 @@
-"""Lookup table of the routes and services of one configuration version."""
+"""What the operator orders: routes and services of one version, and moves."""
 
 from collections.abc import Iterable
 
@@ -9,6 +9,7 @@
 __all__ = [
     "EMPTY_TABLE",
     "Limits",
+    "MoveOrder",
     "WeightedService",
     "Route",
     "Service",
@@ -78,6 +79,15 @@
     idle_seconds: float = 15.0
 
 
+@attrs.frozen
+class MoveOrder:
+    """The operator's order to move a service to a version within `seconds`."""
+
+    service: str
+    to: str
+    seconds: float
+
+
 @attrs.frozen
 class Table:
     """One version of the configuration, indexed for lookups."""
