Strikes that count are handed over before cleared ones

At most 64 strikes are handed to a node that starts, those struck last first. Popular pages are struck and cleared all the time, and could displace the strikes of a request that crashes targets. Found by reading; test_cleared_strikes_do_not_displace_those_that_count failed before.

--- a/cactusshed/policy/quarantine.py
+++ b/cactusshed/policy/quarantine.py
@@ -7,6 +7,7 @@
 shows what it does.
 """
 
+import itertools
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -137,20 +138,22 @@
     def list_strikes(self, now: float) -> Iterator[tuple[bytes, bytes, Strike]]:
         """Yield fingerprint, id and strike for requests that are or were suspected.
 
-        A node that starts needs them. Their number is limited, the last come first.
+        A node that starts needs them. Their number is limited; those of requests that
+        are suspected now come first, then those struck last.
         """
-        left = MAX_LISTED_STRIKES
-        for fingerprint, strikes in reversed(self._strikes.items()):
-            known = [
-                (fingerprint, strike_id, strike)
-                for strike_id, strike in strikes.items()
-                if strike.is_cleared or strike.is_live(now)
-            ]
-            if len(known) >= self._strikes_to_suspect:
-                yield from known[:left]
-                left -= len(known)
-            if left <= 0:
-                return
+        recent = [
+            fingerprint
+            for fingerprint, strikes in reversed(self._strikes.items())
+            if len(strikes) >= self._strikes_to_suspect
+        ]
+        recent.sort(key=lambda fingerprint: not self.evaluate(fingerprint, now).alone)
+        entries = (
+            (fingerprint, strike_id, strike)
+            for fingerprint in recent
+            for strike_id, strike in self._strikes[fingerprint].items()
+            if strike.is_cleared or strike.is_live(now)
+        )
+        return itertools.islice(entries, MAX_LISTED_STRIKES)
 
     def is_empty(self) -> bool:
         """Return whether no strikes are stored, so that hashing can be skipped."""
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -262,3 +262,15 @@
     strikes = list(quarantine.list_strikes(1.0))
     assert_that(strikes, HasLength(MAX_LISTED_STRIKES))
     assert_that(strikes[0][0], Equals(b"twice-2999"))
+
+
+def test_cleared_strikes_do_not_displace_those_that_count():
+    """Popular pages are cleared all the time, and were struck last."""
+    quarantine = Quarantine(STRIKES_TO_SUSPECT)
+    for number, name in itertools.product(range(16), [b"crash", *b"abcdefgh"]):
+        page = name if name == b"crash" else bytes([name])
+        quarantine.add_strike(page, b"%d" % number, 0.0, False)
+        if page != b"crash":
+            quarantine.clear(page)
+    listed = {fingerprint for fingerprint, _, _ in quarantine.list_strikes(1.0)}
+    assert_that(b"crash" in listed, Equals(True))
