--- a/cactusshed/mesh/callplan.py
+++ b/cactusshed/mesh/callplan.py
@@ -4,11 +4,17 @@
 
 import attrs
 
+from .exchange import TARGET_SILENT
 from .frames import Call, Result
 from .silentattempts import SilentAttempts
 
 __all__ = ["CallPlan", "DispatchState", "Outcome"]
 
+MAX_REFUSALS = 2
+"""Refusals for lack of capacity after which no further gate is tried: the second
+gate was already the next best choice. Gates whose target names a rate limit don't
+count, since nodes seldom know how much of it is left."""
+
 
 @attrs.define
 class CallPlan:
@@ -60,3 +66,13 @@
     """Whether the next attempt must be the only one of its request in the mesh."""
     silent: SilentAttempts = attrs.Factory(SilentAttempts)
     """Attempts at targets that have not answered so far."""
+
+    @property
+    def is_tried_beside(self) -> bool:
+        """Return whether a target has not answered, so that others are tried, too."""
+        return self.failure is not None and self.failure.code == TARGET_SILENT
+
+    @property
+    def has_exhausted_capacity(self) -> bool:
+        """Return whether so many gates were full that no further one is tried."""
+        return self.full_gates >= MAX_REFUSALS
--- a/cactusshed/mesh/dispatch.py
+++ b/cactusshed/mesh/dispatch.py
@@ -27,10 +27,6 @@
 
 MAX_PROBES = 3
 """Gates probed for a free slot before a call queues at one."""
-MAX_REFUSALS = 2
-"""Refusals for lack of capacity after which no further gate is tried: the second
-gate was already the next best choice. Gates whose target names a rate limit don't
-count, since nodes seldom know how much of it is left."""
 MAX_ATTEMPTS = 8
 """Maximum number of gates that one call tries, for whatever reason."""
 NO_TARGET_RETRY_MS = 150
@@ -76,9 +72,7 @@
             refusal = self._check_quarantine(plan.call, state)
             if refusal is not None:
                 return state.failure or refusal
-            choice = (
-                None if _has_exhausted_capacity(state) else self._choose(plan, state)
-            )
+            choice = None if state.has_exhausted_capacity else self._choose(plan, state)
             if choice is None:
                 if not self._fall_back(plan, state):
                     break
@@ -226,7 +220,7 @@
         if result.outcome == NOT_RUN:
             is_full = result.code in _NO_CAPACITY and not candidate.start_rate
             # A request whose target is silent should find another one.
-            if is_full and not _is_tried_beside(state):
+            if is_full and not state.is_tried_beside:
                 state.full_gates += 1
             self._record_refusal(plan, state, result)
             if result.code in _QUARANTINED:
@@ -300,12 +294,3 @@
             return await state.silent.await_success() or other
     except TimeoutError:
         return other
-
-
-def _is_tried_beside(state: DispatchState) -> bool:
-    """Return whether a target has not answered, so that others are tried beside it."""
-    return state.failure is not None and state.failure.code == TARGET_SILENT
-
-
-def _has_exhausted_capacity(state: DispatchState) -> bool:
-    return state.full_gates >= MAX_REFUSALS
