Reads of the store leave more room below the bound on changes

A lone node noticed a silent connection 1.6 s after the store's last answer, and the followers of a cut reader read after 1.5 s; a call to the store and the way to the other nodes come on top, of 2 s. Both are 0.1 s earlier now.

--- a/cactusshed/policy/readtimes.py
+++ b/cactusshed/policy/readtimes.py
@@ -12,10 +12,10 @@
 
 DEFAULT_APPLY_SECONDS = 2.0
 """Time limit for a change to take effect if the settings name none."""
-FEED_FRACTION = 0.5
+FEED_FRACTION = 0.45
 ANSWER_FRACTION = 0.3
 """A node that reads for itself alone notices a silent connection after both."""
-LOST_FRACTION = 0.75
+LOST_FRACTION = 0.7
 """Longer than an answered feed call. The rest is left for a call to the store and for
 passing on a change."""
 HEARTBEAT_FRACTION = 0.15
