The test of a reader that loses the store and then pauses can fail

It removed the reader, so that the next node ranked first and read at once, whatever the times. The reader pauses now while the others take it for up.

--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -96,6 +96,7 @@
         self.times = times
         self.refused = set()
         self.hanging = set()
+        self.paused = set()
         self.calls = 0
         self.heard_at = 0.0
 
@@ -105,6 +106,8 @@
         beat_steps = max(1, round(self.times.heartbeat / STEP_SECONDS))
         beats = round(self.now / STEP_SECONDS) % beat_steps
         for name, relay in self.relays.items():
+            if name in self.paused:
+                continue
             if relay.is_reader():
                 self.calls += 1
                 if name in self.refused:
@@ -126,7 +129,8 @@
         return [
             name
             for name, relay in self.relays.items()
-            if relay.is_reader() and name not in self.refused | self.hanging
+            if name not in self.refused | self.hanging | self.paused
+            and relay.is_reader()
         ]
 
 
@@ -203,14 +207,13 @@
     assert_that(len(fleet.list_readers()), Equals(1))
 
 
-def test_reader_that_is_cut_off_after_its_calls_hang_is_replaced_in_time(make_fleet):
-    """Losing the store and then the other nodes must not add up."""
+def test_reader_that_pauses_after_its_calls_hang_is_replaced_in_time(make_fleet):
+    """The time without the store and that without heartbeats must not add up."""
     fleet = make_fleet(24)
     fleet.run(7.0)
     fleet.hanging = {"n000"}
     fleet.run(1.2)
-    del fleet.members["n000"]
-    del fleet.relays["n000"]
+    fleet.paused = {"n000"}
     fleet.run(0.6)
     assert_that(len(fleet.list_readers()), Equals(1))
 
